--- /dev/null
+++ b/cmd/knapweedshorectl/main.go
@@ -0,0 +1,4 @@
+// Command knapweedshorectl is the operators' command.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,38 @@
+// Package events logs numbered events with zap. Every event has one number
+// and one message for good; docs/events.md lists them for operators.
+package events
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	// Number is unique and never reused.
+	Number int
+	Level  zapcore.Level
+	// Message is the constant text of the line; details go into fields.
+	Message string
+	// Action tells an operator what to do, or "none".
+	Action string
+}
+
+// Logger writes events.
+type Logger struct{ z *zap.Logger }
+
+// New returns a Logger that writes to z.
+func New(z *zap.Logger) *Logger { return &Logger{z: z} }
+
+// Discard returns a Logger that writes nothing.
+func Discard() *Logger { return New(zap.NewNop()) }
+
+// With returns a Logger that adds fields to every event.
+func (l *Logger) With(fields ...zap.Field) *Logger { return New(l.z.With(fields...)) }
+
+// Log writes one event.
+func (l *Logger) Log(e Event, fields ...zap.Field) {
+	if ce := l.z.Check(e.Level, e.Message); ce != nil {
+		ce.Write(append(fields, zap.Int("event", e.Number))...)
+	}
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,115 @@
+// Package metrics publishes the daemon's counters with expvar. Every refusal
+// and every retry has a reason, and every reason has a counter.
+package metrics
+
+import (
+	"expvar"
+	"sort"
+	"sync/atomic"
+)
+
+// Reason names why a packet was refused or a call was tried again.
+type Reason string
+
+// Registry holds the counters of one daemon. Several daemons can run in one
+// process, each with its own Registry.
+type Registry struct {
+	refusals *Counters
+	retries  *Counters
+	totals   *Counters
+}
+
+// NewRegistry returns a Registry that has a counter for every known reason.
+func NewRegistry() *Registry {
+	return &Registry{
+		refusals: newCounters(refusalReasons),
+		retries:  newCounters(retryReasons),
+		totals:   newCounters(totalNames),
+	}
+}
+
+// Refused counts one refused packet or request.
+func (r *Registry) Refused(reason Reason) { r.refusals.Add(reason, 1) }
+
+// Retried counts one repeated call.
+func (r *Registry) Retried(reason Reason) { r.retries.Add(reason, 1) }
+
+// Count adds n to a total.
+func (r *Registry) Count(name Reason, n int64) { r.totals.Add(name, n) }
+
+// Refusals returns the refusal counters.
+func (r *Registry) Refusals() *Counters { return r.refusals }
+
+// Retries returns the retry counters.
+func (r *Registry) Retries() *Counters { return r.retries }
+
+// Totals returns the plain counters.
+func (r *Registry) Totals() *Counters { return r.totals }
+
+// Map returns the registry as an expvar map, to be served by the daemon's
+// metrics address.
+func (r *Registry) Map() *expvar.Map {
+	m := new(expvar.Map)
+	m.Set("refusals", expvar.Func(r.refusals.values))
+	m.Set("retries", expvar.Func(r.retries.values))
+	m.Set("totals", expvar.Func(r.totals.values))
+	return m
+}
+
+// Counters is a fixed set of named counters, safe for concurrent use.
+type Counters struct {
+	byName map[Reason]*atomic.Int64
+}
+
+func newCounters(names []Reason) *Counters {
+	c := &Counters{byName: make(map[Reason]*atomic.Int64, len(names))}
+	for _, n := range names {
+		c.byName[n] = new(atomic.Int64)
+	}
+	return c
+}
+
+// Add adds n to a counter. It panics on a name that the package does not
+// declare, so that no reason goes uncounted.
+func (c *Counters) Add(name Reason, n int64) {
+	v, ok := c.byName[name]
+	if !ok {
+		panic("metrics: undeclared counter " + string(name))
+	}
+	v.Add(n)
+}
+
+// Value returns the counter, or 0 for an unknown name.
+func (c *Counters) Value(name Reason) int64 {
+	if v, ok := c.byName[name]; ok {
+		return v.Load()
+	}
+	return 0
+}
+
+// Names returns all counter names in order.
+func (c *Counters) Names() []Reason {
+	names := make([]Reason, 0, len(c.byName))
+	for n := range c.byName {
+		names = append(names, n)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+// Sum returns the sum of all counters.
+func (c *Counters) Sum() int64 {
+	var sum int64
+	for _, v := range c.byName {
+		sum += v.Load()
+	}
+	return sum
+}
+
+func (c *Counters) values() any {
+	out := make(map[string]int64, len(c.byName))
+	for n, v := range c.byName {
+		out[string(n)] = v.Load()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/metrics/names.go
@@ -0,0 +1,86 @@
+package metrics
+
+// Reasons for refusing a packet, a flow or a message.
+const (
+	Malformed         Reason = "malformed"
+	Truncated         Reason = "truncated"
+	Fragment          Reason = "fragment"
+	UnsupportedHeader Reason = "unsupported_header"
+	UnknownSource     Reason = "unknown_source"
+	HopLimit          Reason = "hop_limit"
+	NoRoute           Reason = "no_route"
+	AnswerUnknown     Reason = "answer_unknown"
+	NoUsableServer    Reason = "no_usable_server"
+	ServerLimit       Reason = "server_limit"
+	ReverseConflict   Reason = "reverse_conflict"
+	FlowTableFull     Reason = "flow_table_full"
+	NewFlowRate       Reason = "new_flow_rate"
+	NoStanding        Reason = "no_standing"
+	NoOwner           Reason = "no_owner"
+	NoTables          Reason = "no_tables"
+	ResetUnconfirmed  Reason = "reset_unconfirmed"
+	ICMPUnknownFlow   Reason = "icmp_unknown_flow"
+	StaleTables       Reason = "stale_tables"
+	StaleMember       Reason = "stale_member"
+	PeerNotMember     Reason = "peer_not_member"
+	ExceptionBudget   Reason = "exception_budget"
+	ExceptionStale    Reason = "exception_stale"
+	TablesRegressed   Reason = "table_version_regressed"
+	StoreBudget       Reason = "store_budget"
+	SendFailed        Reason = "send_failed"
+)
+
+var refusalReasons = []Reason{
+	Malformed, Truncated, Fragment, UnsupportedHeader, UnknownSource, HopLimit,
+	NoRoute, AnswerUnknown, NoUsableServer, ServerLimit, ReverseConflict,
+	FlowTableFull, NewFlowRate, NoStanding, NoOwner, NoTables, ResetUnconfirmed,
+	ICMPUnknownFlow, StaleTables, StaleMember, PeerNotMember, ExceptionBudget,
+	ExceptionStale, TablesRegressed, StoreBudget, SendFailed,
+}
+
+// Reasons for repeating a call.
+const (
+	StoreTimeout     Reason = "store_timeout"
+	StoreUnavailable Reason = "store_unavailable"
+	StoreThrottled   Reason = "store_throttled"
+	StoreConflict    Reason = "store_conflict"
+	LinkDial         Reason = "link_dial"
+	LinkBroken       Reason = "link_broken"
+	TablesGap        Reason = "tables_gap"
+	ExceptionResend  Reason = "exception_resend"
+	ServerMoved      Reason = "server_moved"
+)
+
+var retryReasons = []Reason{
+	StoreTimeout, StoreUnavailable, StoreThrottled, StoreConflict, LinkDial,
+	LinkBroken, TablesGap, ExceptionResend, ServerMoved,
+}
+
+// Totals.
+const (
+	PacketsIn           Reason = "packets_in"
+	PacketsOut          Reason = "packets_out"
+	PacketsForwarded    Reason = "packets_forwarded"
+	FlowsOpened         Reason = "flows_opened"
+	FlowsAdopted        Reason = "flows_adopted"
+	FlowsClosed         Reason = "flows_closed"
+	FlowsExpired        Reason = "flows_expired"
+	FlowsDeviated       Reason = "flows_deviated"
+	SilentFlows         Reason = "silent_flows"
+	Ejections           Reason = "ejections"
+	ExceptionsSent      Reason = "exceptions_sent"
+	ExceptionsStored    Reason = "exceptions_stored"
+	ExceptionsHandover  Reason = "exceptions_handover"
+	TablesApplied       Reason = "tables_applied"
+	StoreCalls          Reason = "store_calls"
+	ControlBytesSent    Reason = "control_bytes_sent"
+	ControlBytesReceive Reason = "control_bytes_received"
+	MembersDied         Reason = "members_died"
+)
+
+var totalNames = []Reason{
+	PacketsIn, PacketsOut, PacketsForwarded, FlowsOpened, FlowsAdopted,
+	FlowsClosed, FlowsExpired, FlowsDeviated, SilentFlows, Ejections,
+	ExceptionsSent, ExceptionsStored, ExceptionsHandover, TablesApplied,
+	StoreCalls, ControlBytesSent, ControlBytesReceive, MembersDied,
+}
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,3 @@
+// Package standin groups the stand-ins for outside systems. Only the dev
+// command and tests import its packages.
+package standin
