--- /dev/null
+++ b/internal/selection/server.go
@@ -0,0 +1,85 @@
+package selection
+
+import (
+	"math"
+	"time"
+
+	"knapweedshore.example/internal/tables"
+)
+
+// Constants of what is learned about a server.
+const (
+	// BusyDecay is the time constant of the decaying busy time.
+	BusyDecay = 10 * time.Second
+	// SlowStart is how long the weight of a cold server rises.
+	SlowStart = 30 * time.Second
+	// ColdWeight is the part of its weight that a cold server starts with.
+	ColdWeight = 0.1
+)
+
+// instant is a time in nanoseconds since the Chooser's epoch.
+type instant int64
+
+// server is what this process has observed of one backend server. It is
+// guarded by the Chooser's lock.
+type server struct {
+	flows int
+	// busy is the decaying mean of flows, valid at busyAt.
+	busy   float64
+	busyAt instant
+	// coldSince is the appearance or the end of the last ejection.
+	coldSince instant
+
+	speed speed
+	health
+}
+
+func newServer(now instant, warm bool) *server {
+	rec := &server{busyAt: now, coldSince: now}
+	if warm {
+		rec.coldSince -= instant(SlowStart)
+	}
+	return rec
+}
+
+func (r *server) open(now instant) {
+	r.settle(now)
+	r.flows++
+}
+
+// close ignores a flow that was opened before the server was forgotten.
+func (r *server) close(now instant) {
+	r.settle(now)
+	r.flows = max(0, r.flows-1)
+}
+
+// settle brings busy up to now.
+func (r *server) settle(now instant) {
+	if now > r.busyAt {
+		r.busy = r.busyNow(now)
+		r.busyAt = now
+	}
+}
+
+// busyNow returns the mean number of open flows, weighted by exp(-age/BusyDecay).
+func (r *server) busyNow(now instant) float64 {
+	kept := math.Exp(-float64(now-r.busyAt) / float64(BusyDecay))
+	return float64(r.flows) + (r.busy-float64(r.flows))*kept
+}
+
+// load returns the open flows and the decaying busy time in flows.
+func (r *server) load(now instant) float64 {
+	return float64(r.flows) + r.busyNow(now)
+}
+
+// weight returns the operator's weight, 1 being normal, times the learned
+// speed and the slow start.
+func (r *server) weight(s *tables.Server, now instant) float64 {
+	return float64(s.Weight) / tables.DefaultWeight * r.speed.factor() * r.warmth(now)
+}
+
+// warmth rises linearly from ColdWeight to 1.
+func (r *server) warmth(now instant) float64 {
+	age := float64(now-r.coldSince) / float64(SlowStart)
+	return ColdWeight + (1-ColdWeight)*min(1, max(0, age))
+}
