--- /dev/null
+++ b/internal/tables/delta.go
@@ -0,0 +1,127 @@
+package tables
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// WriteID identifies one write of an operator's command, so that a write whose
+// response was lost can be recognised in the head.
+type WriteID string
+
+// writeIDBytes makes a collision among the last MaxWriteIDs writes negligible.
+const writeIDBytes = 8
+
+// NewWriteID returns a random id.
+func NewWriteID() WriteID {
+	var b [writeIDBytes]byte
+	rand.Read(b[:]) // never fails, see crypto/rand
+	return WriteID(hex.EncodeToString(b[:]))
+}
+
+// Delta is one change of the tables: the step from Version-1 to Version.
+type Delta struct {
+	Version Version
+	WriteID WriteID
+	// Author is who made the change, for the history.
+	Author string
+	// Time is when the change was made, in milliseconds and UTC. Reservations
+	// are counted from it, so that every daemon computes the same ones.
+	Time       time.Time
+	Operations []Operation
+}
+
+// deltaJSON is the JSON form of a Delta.
+type deltaJSON struct {
+	Version    Version    `json:"version"`
+	WriteID    WriteID    `json:"write_id"`
+	Author     string     `json:"author,omitempty"`
+	Time       time.Time  `json:"time"`
+	Operations []envelope `json:"operations"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (d Delta) MarshalJSON() ([]byte, error) {
+	j := deltaJSON{Version: d.Version, WriteID: d.WriteID, Author: d.Author, Time: roundTime(d.Time)}
+	j.Operations = make([]envelope, len(d.Operations))
+	for i, op := range d.Operations {
+		j.Operations[i] = pack(op)
+	}
+	return json.Marshal(j)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *Delta) UnmarshalJSON(data []byte) error {
+	var j deltaJSON
+	if err := json.Unmarshal(data, &j); err != nil {
+		return err
+	}
+	out := Delta{Version: j.Version, WriteID: j.WriteID, Author: j.Author, Time: roundTime(j.Time)}
+	out.Operations = make([]Operation, len(j.Operations))
+	for i, e := range j.Operations {
+		op, err := e.unpack()
+		if err != nil {
+			return errors.Wrapf(err, "operation %d of write %q", i, j.WriteID)
+		}
+		out.Operations[i] = op
+	}
+	if err := out.check().err(); err != nil {
+		return err
+	}
+	*d = out
+	return nil
+}
+
+// Encode returns the JSON form, which head, base and the peer messages share.
+// It panics on a time that JSON cannot express; Apply refuses such a delta.
+func (d Delta) Encode() []byte { return mustMarshal(d) }
+
+// DecodeDelta reads the JSON form.
+func DecodeDelta(data []byte) (Delta, error) {
+	var d Delta
+	if err := decodeValue(data, &d); err != nil {
+		return Delta{}, errors.Wrap(err, "decode delta")
+	}
+	return d, nil
+}
+
+// Limits of the texts in a delta.
+const (
+	maxWriteIDLength = 64
+	maxAuthorLength  = 128
+)
+
+// Range of Delta.Time. JSON ends at the year 9999, and a reservation adds
+// hours to the time.
+var (
+	minTime = time.Unix(0, 0).UTC()
+	maxTime = time.Date(9999, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// check validates the parts of a delta that do not depend on the tables.
+func (d Delta) check() problems {
+	var p problems
+	e := Entry{Kind: DeltaEntry, Name: string(d.WriteID)}
+	if d.Version == 0 {
+		p.add(e, RuleDelta, "version is 0")
+	}
+	if d.WriteID == "" || len(d.WriteID) > maxWriteIDLength {
+		p.add(e, RuleDelta, "write id has %d bytes, want 1 to %d", len(d.WriteID), maxWriteIDLength)
+	}
+	if len(d.Author) > maxAuthorLength {
+		p.add(e, RuleDelta, "author has %d bytes, want at most %d", len(d.Author), maxAuthorLength)
+	}
+	if d.Time.Before(minTime) || d.Time.After(maxTime) {
+		p.add(e, RuleDelta, "time %s is out of range", d.Time)
+	}
+	if len(d.Operations) == 0 {
+		p.add(e, RuleDelta, "no operations")
+	}
+	return p
+}
+
+func roundTime(t time.Time) time.Time { return t.UTC().Truncate(time.Millisecond) }
--- a/internal/tables/tables.go
+++ b/internal/tables/tables.go
@@ -68,15 +68,16 @@
 	MaxServers     = 50_000
 )
 
-// Address is where callers reach a service.
+// Address is where callers reach a service. Its text form is
+// ADDR:PORT/PROTOCOL.
 type Address struct {
-	AddrPort netip.AddrPort `json:"addr_port"`
-	Protocol Protocol       `json:"protocol"`
+	AddrPort netip.AddrPort
+	Protocol Protocol
 }
 
 // Route says which traffic belongs to which service, and names its pool.
 type Route struct {
-	ID      RouteID `json:"id"`
+	ID      RouteID `json:"id,omitempty"`
 	Name    string  `json:"name"`
 	Address Address `json:"address"`
 	Pool    string  `json:"pool"`
@@ -84,17 +85,17 @@
 
 // Server is one backend server of a pool.
 type Server struct {
-	ID       ServerID       `json:"id"`
+	ID       ServerID       `json:"id,omitempty"`
 	Name     string         `json:"name"`
 	Endpoint netip.AddrPort `json:"endpoint"`
 	Zone     string         `json:"zone"`
 	// Weight is the operator's relative speed; DefaultWeight is normal.
-	Weight uint32 `json:"weight"`
+	Weight uint32 `json:"weight,omitempty"`
 	// Slots is how many requests the server works on at once.
-	Slots uint32 `json:"slots"`
+	Slots uint32 `json:"slots,omitempty"`
 	// Connections is how many flows the server accepts.
-	Connections uint32      `json:"connections"`
-	State       ServerState `json:"state"`
+	Connections uint32      `json:"connections,omitempty"`
+	State       ServerState `json:"state,omitempty"`
 }
 
 // Pool says which backend servers serve the routes that name it. Servers are
@@ -110,6 +111,9 @@
 	// Address is set for a removed route, with the protocol; for a removed
 	// server Protocol is 0 and the endpoint is reserved for both protocols.
 	Address Address `json:"address"`
+	// ID is the RouteID or ServerID that the entry had. Exceptions name
+	// servers by id, so a VM that starts now can still find the endpoint.
+	ID uint32 `json:"id"`
 	// Owner is the name of the route, or POOL/SERVER, that held it.
 	Owner string    `json:"owner"`
 	Until time.Time `json:"until"`
@@ -121,7 +125,7 @@
 	version      Version
 	routes       []Route       // sorted by name
 	pools        []Pool        // sorted by name
-	reservations []Reservation // sorted by owner
+	reservations []Reservation // sorted by address, endpoints first
 	nextID       uint32
 
 	routeByName    map[string]*Route
@@ -131,6 +135,7 @@
 	serverByID     map[ServerID]ServerRef
 	serverByAddr   map[netip.AddrPort]ServerRef
 	routesByPool   map[string][]*Route
+	reservedByAddr map[Address]*Reservation
 }
 
 // ServerRef is a server together with its pool.
@@ -190,6 +195,13 @@
 // RoutesOf returns the routes that name this pool.
 func (s *Snapshot) RoutesOf(pool string) []*Route { return s.routesByPool[pool] }
 
+// Reserved returns the reservation of a removed route's address, or of a
+// removed server's endpoint when the protocol of a is 0.
+func (s *Snapshot) Reserved(a Address) (*Reservation, bool) {
+	r, ok := s.reservedByAddr[a]
+	return r, ok
+}
+
 // Empty is the state before the first accepted change: version 0, no entries.
 func Empty() *Snapshot {
 	s := &Snapshot{nextID: 1}
@@ -221,4 +233,12 @@
 			s.serverByAddr[ref.Server.Endpoint] = ref
 		}
 	}
+	s.indexReservations()
+}
+
+func (s *Snapshot) indexReservations() {
+	s.reservedByAddr = make(map[Address]*Reservation, len(s.reservations))
+	for i := range s.reservations {
+		s.reservedByAddr[s.reservations[i].Address] = &s.reservations[i]
+	}
 }
--- /dev/null
+++ b/standin/store/lease.go
@@ -0,0 +1,42 @@
+package store
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"knapweedshore.example/internal/store"
+)
+
+type lease struct {
+	holder  string
+	expires time.Time
+}
+
+// AcquireLease takes or renews a lease. It returns store.ErrConflict while
+// another holder has it. A lease gives its holder no power over values.
+func (p *Platform) AcquireLease(name, holder string, ttl time.Duration) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if l, ok := p.leases[name]; ok && l.holder != holder && l.expires.After(now) {
+		return errors.Wrapf(store.ErrConflict, "lease %q is held by %q", name, l.holder)
+	}
+	p.leases[name] = lease{holder: holder, expires: now.Add(ttl)}
+	return nil
+}
+
+// LeaseHolder returns who holds a lease now.
+func (p *Platform) LeaseHolder(name string) (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.leases[name]
+	return l.holder, ok && l.expires.After(time.Now())
+}
+
+// LapseLease ends a lease while its holder believes that it still has it.
+func (p *Platform) LapseLease(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.leases, name)
+}
--- /dev/null
+++ b/standin/store/memory.go
@@ -0,0 +1,146 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/time/rate"
+
+	"knapweedshore.example/internal/store"
+)
+
+// Memory is a store.Store on a Platform without sockets, so that it works
+// inside a synctest bubble.
+type Memory struct{ p *Platform }
+
+var _ store.Store = (*Memory)(nil)
+
+// Memory returns a store.Store on the platform's state.
+func (p *Platform) Memory() *Memory { return &Memory{p: p} }
+
+// Get implements store.Store.
+func (m *Memory) Get(ctx context.Context, key string) (store.Value, error) {
+	if err := m.p.admitRead(ctx); err != nil {
+		return store.Value{}, err
+	}
+	m.p.mu.Lock()
+	v, ok := m.p.values[key]
+	m.p.mu.Unlock()
+	if !ok {
+		return store.Value{}, errors.Wrapf(store.ErrNotFound, "get %q", key)
+	}
+	return copyValue(v), nil
+}
+
+// Swap implements store.Store.
+func (m *Memory) Swap(ctx context.Context, key string, data []byte, revision uint64) (uint64, error) {
+	if err := m.p.admit(m.p.writes, &m.p.counts.Writes); err != nil {
+		return 0, err
+	}
+	if len(data) > store.MaxValueSize {
+		return 0, errors.Errorf("swap %q: value has %d bytes, want at most %d", key, len(data), store.MaxValueSize)
+	}
+	written, lost, err := m.p.swap(key, data, revision)
+	if err := m.p.delay(ctx); err != nil {
+		return 0, errors.Wrapf(store.ErrUnknownOutcome, "swap %q: %v", key, err)
+	}
+	if lost {
+		return 0, errors.Wrapf(store.ErrUnknownOutcome, "swap %q", key)
+	}
+	return written, err
+}
+
+func (p *Platform) swap(key string, data []byte, revision uint64) (written uint64, lost bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if take(&p.faults.loseRequests) {
+		return 0, true, nil
+	}
+	if at := p.values[key].Revision; at != revision {
+		return 0, false, errors.Wrapf(store.ErrConflict, "swap %q: revision %d, not %d", key, at, revision)
+	}
+	return p.put(key, bytes.Clone(data)), take(&p.faults.loseAnswers), nil
+}
+
+// Watch implements store.Store.
+func (m *Memory) Watch(ctx context.Context, key string, after uint64) (store.Value, error) {
+	if err := m.p.admitRead(ctx); err != nil {
+		return store.Value{}, err
+	}
+	end := time.NewTimer(m.p.options.WatchWait)
+	defer end.Stop()
+	for {
+		m.p.mu.Lock()
+		v, changed, down := m.p.values[key], m.p.changed, m.p.faults.down
+		m.p.mu.Unlock()
+		if down {
+			return store.Value{}, errors.Wrapf(store.ErrUnavailable, "watch %q", key)
+		}
+		if v.Revision > after {
+			return copyValue(v), nil
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return store.Value{}, errors.Wrapf(store.ErrNotModified, "watch %q", key)
+		case <-ctx.Done():
+			return store.Value{}, errors.Wrapf(ctx.Err(), "watch %q", key)
+		}
+	}
+}
+
+// VMs implements store.Store.
+func (m *Memory) VMs(ctx context.Context) ([]store.VM, error) {
+	if err := m.p.admitRead(ctx); err != nil {
+		return nil, err
+	}
+	return m.p.visibleVMs(time.Now()), nil
+}
+
+func (p *Platform) admitRead(ctx context.Context) error {
+	if err := p.admit(p.reads, &p.counts.Reads); err != nil {
+		return err
+	}
+	if err := p.delay(ctx); err != nil {
+		return errors.Wrap(store.ErrUnavailable, err.Error())
+	}
+	return nil
+}
+
+// admit counts a call and applies the rate limit and the fault "down".
+func (p *Platform) admit(limit *rate.Limiter, count *int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.down {
+		return store.ErrUnavailable
+	}
+	*count++
+	if !limit.Allow() {
+		p.counts.Throttled++
+		return store.ErrThrottled
+	}
+	return nil
+}
+
+func (p *Platform) delay(ctx context.Context) error {
+	p.mu.Lock()
+	d := p.faults.slow
+	p.mu.Unlock()
+	if d == 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func copyValue(v store.Value) store.Value {
+	return store.Value{Data: bytes.Clone(v.Data), Revision: v.Revision}
+}
