--- /dev/null
+++ b/internal/member/view.go
@@ -0,0 +1,84 @@
+package member
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// View is an immutable picture of all members that a daemon knows.
+type View struct {
+	// Self is the daemon's own record.
+	Self Member
+	// Members holds every known record in ring order, the daemon's own and
+	// those of dead and left members included. It must not be changed.
+	Members []Member
+	// Standing tells whether the daemon may decide about flows. Code on the
+	// packet path asks Table.Standing, which also notices a pause that the
+	// table's own loop has not noticed yet.
+	Standing bool
+
+	hashes []uint64 // ring positions of Members
+	byName map[Name]int
+	byData map[netip.AddrPort]int
+}
+
+func newView(self Member, members []Member, standing bool) *View {
+	v := &View{
+		Self: self, Members: members, Standing: standing,
+		hashes: make([]uint64, len(members)),
+		byName: make(map[Name]int, len(members)),
+		byData: make(map[netip.AddrPort]int, len(members)),
+	}
+	slices.SortFunc(members, func(a, b Member) int { return compareRing(a.Name, b.Name) })
+	for i, m := range members {
+		v.hashes[i] = ringHash(m.Name)
+		v.byName[m.Name] = i
+		// A live VM that took over the address of a dead one is found first.
+		if j, taken := v.byData[m.Data]; !taken || members[j].ended() {
+			v.byData[m.Data] = i
+		}
+	}
+	return v
+}
+
+func ringHash(n Name) uint64 { return xxhash.Sum64String(string(n)) }
+
+func compareRing(a, b Name) int {
+	return cmp.Or(cmp.Compare(ringHash(a), ringHash(b)), cmp.Compare(a, b))
+}
+
+// ended reports whether the VM is believed to be gone.
+func (m Member) ended() bool { return m.State == Dead || m.State == Left }
+
+// Get returns the record with this name.
+func (v *View) Get(n Name) (Member, bool) {
+	i, ok := v.byName[n]
+	if !ok {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// ByData returns the member with this data address, a live one if an address
+// was reused.
+func (v *View) ByData(a netip.AddrPort) (Member, bool) {
+	i, ok := v.byData[a]
+	if !ok {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// Serving returns the members that own slots, in ring order.
+func (v *View) Serving() []Member {
+	out := make([]Member, 0, len(v.Members))
+	for _, m := range v.Members {
+		if m.Serves() {
+			out = append(out, m)
+		}
+	}
+	return out
+}
