--- /dev/null
+++ b/internal/packet/rewrite.go
@@ -0,0 +1,118 @@
+package packet
+
+import (
+	"net/netip"
+
+	"knapweedshore.example/internal/tables"
+)
+
+// RewriteDestination replaces the destination address and port of a TCP or
+// UDP packet in place, and info.Dst with them, and updates the checksums
+// incrementally. The new address must be of the packet's IP version: the
+// function panics otherwise, since the packet would be sent on with its old
+// destination. It must not be called for an ICMP error.
+func RewriteDestination(b []byte, info *Info, to netip.AddrPort) {
+	info.rewriteAddress(b, to, ipv4Dst, ipv6Dst, dstPort)
+	info.Dst, info.OuterDst = to, to.Addr()
+}
+
+// RewriteSource is RewriteDestination for the source address and port.
+func RewriteSource(b []byte, info *Info, to netip.AddrPort) {
+	info.rewriteAddress(b, to, ipv4Src, ipv6Src, srcPort)
+	info.Src, info.OuterSrc = to, to.Addr()
+}
+
+func (i *Info) rewriteAddress(b []byte, to netip.AddrPort, v4, v6, port int) {
+	var d delta
+	replaceAddr(b, to.Addr(), i.v6, v4, v6, &d)
+	if !i.v6 {
+		updateChecksum(b[ipv4Checksum:], d)
+	}
+	t := b[i.transport:]
+	d.replace16(t[port:], to.Port())
+	updateTransport(t, i.Protocol, i.v6, d)
+}
+
+// RewriteICMPError redirects an ICMP error about a flow: it replaces the outer
+// destination and the embedded source address and port, so that the error
+// reaches the end that sent the embedded packet, in the form that end sent it.
+// It updates the outer, the embedded and the ICMP checksums, and info. The
+// addresses must be of the packet's IP version, as for RewriteDestination.
+func RewriteICMPError(b []byte, info *Info, outerDst netip.Addr, embeddedSrc netip.AddrPort) {
+	info.rewriteEmbedded(b, embeddedSrc)
+	var d delta
+	replaceAddr(b, outerDst, info.v6, ipv4Dst, ipv6Dst, &d)
+	if info.v6 {
+		// The pseudo header of ICMPv6 holds the outer destination.
+		updateChecksum(b[info.transport+icmpChecksum:], d)
+	} else {
+		updateChecksum(b[ipv4Checksum:], d)
+	}
+	info.Src, info.OuterDst = embeddedSrc, outerDst
+}
+
+// rewriteEmbedded changes the embedded source. Every changed word, checksums
+// included, is covered by the ICMP checksum.
+func (i *Info) rewriteEmbedded(b []byte, src netip.AddrPort) {
+	ip, t := b[i.embedded:i.Length], b[i.inner:i.Length]
+	var icmp, d delta
+	replaceAddr(ip, src.Addr(), i.v6, ipv4Src, ipv6Src, &d)
+	icmp = d
+	if !i.v6 {
+		icmp.replace16(ip[ipv4Checksum:], d.update(be.Uint16(ip[ipv4Checksum:])))
+	}
+	var port delta
+	port.replace16(t[srcPort:], src.Port())
+	icmp += port
+	i.rewriteEmbeddedTransport(t, d+port, &icmp)
+	updateChecksum(b[i.transport+icmpChecksum:], icmp)
+}
+
+// rewriteEmbeddedTransport updates the embedded TCP or UDP checksum if the
+// error embeds enough of the packet to contain it.
+func (i *Info) rewriteEmbeddedTransport(t []byte, d delta, icmp *delta) {
+	at := tcpChecksum
+	if i.Protocol == tables.UDP {
+		at = udpChecksum
+	}
+	if len(t) < at+2 {
+		return
+	}
+	before := be.Uint16(t[at:])
+	updateTransport(t, i.Protocol, i.v6, d)
+	*icmp += delta(^before) + delta(be.Uint16(t[at:]))
+}
+
+// updateTransport applies d to the checksum of the TCP or UDP header t.
+func updateTransport(t []byte, p tables.Protocol, v6 bool, d delta) {
+	if p != tables.UDP {
+		updateChecksum(t[tcpChecksum:], d)
+		return
+	}
+	old := be.Uint16(t[udpChecksum:])
+	if old == 0 && !v6 {
+		return // the sender of a UDP datagram over IPv4 may omit the checksum
+	}
+	sum := d.update(old)
+	if sum == 0 {
+		sum = 0xffff // 0 stands for "no checksum" (RFC 768)
+	}
+	be.PutUint16(t[udpChecksum:], sum)
+}
+
+func updateChecksum(field []byte, d delta) {
+	be.PutUint16(field, d.update(be.Uint16(field)))
+}
+
+func replaceAddr(b []byte, to netip.Addr, v6 bool, at4, at6 int, d *delta) {
+	if to.Is6() != v6 {
+		panic("packet: rewrite to an address of another IP version")
+	}
+	if v6 {
+		a := to.As16()
+		d.replace(b[at6:at6+16], a[:])
+		return
+	}
+	a := to.As4()
+	d.replace(b[at4:at4+4], a[:])
+}
