Count refused peers and full link queues

Cause: package peer refuses forged peers and drops messages when a link is slow, and had no counters for them. Change: two refusal reasons. Result: both show in the metrics.

--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -23,6 +23,8 @@
 	StaleTables       Reason = "stale_tables"
 	StaleMember       Reason = "stale_member"
 	PeerNotMember     Reason = "peer_not_member"
+	PeerRefused       Reason = "peer_refused"
+	LinkQueueFull     Reason = "link_queue_full"
 	ExceptionBudget   Reason = "exception_budget"
 	ExceptionStale    Reason = "exception_stale"
 	TablesRegressed   Reason = "table_version_regressed"
@@ -34,7 +36,7 @@
 	Malformed, Truncated, Fragment, UnsupportedHeader, UnknownSource, HopLimit,
 	NoRoute, AnswerUnknown, NoUsableServer, ServerLimit, ReverseConflict,
 	FlowTableFull, NewFlowRate, NoStanding, NoOwner, NoTables, ResetUnconfirmed,
-	ICMPUnknownFlow, StaleTables, StaleMember, PeerNotMember, ExceptionBudget,
+	ICMPUnknownFlow, StaleTables, StaleMember, PeerNotMember, PeerRefused, LinkQueueFull, ExceptionBudget,
 	ExceptionStale, TablesRegressed, StoreBudget, SendFailed,
 }
 
