--- /dev/null
+++ b/standin/fabric/inet/parse.go
@@ -0,0 +1,176 @@
+package inet
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/go-faster/errors"
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+)
+
+// Parse decodes an IP packet without its options and checks every checksum,
+// as a receiving host does. The payload refers to b.
+func Parse(b []byte) (*Packet, error) {
+	p := &Packet{}
+	network, transport, err := p.parseNetwork(b)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse IP header")
+	}
+	if err := p.parseTransport(network, transport); err != nil {
+		return nil, errors.Wrapf(err, "parse transport protocol %d", p.Protocol)
+	}
+	return p, nil
+}
+
+func (p *Packet) parseNetwork(b []byte) (gopacket.NetworkLayer, []byte, error) {
+	if len(b) > 0 && b[0]>>4 == 6 {
+		var ip layers.IPv6
+		if err := ip.DecodeFromBytes(b, gopacket.NilDecodeFeedback); err != nil {
+			return nil, nil, err
+		}
+		p.Protocol = Protocol(ip.NextHeader)
+		return &ip, ip.Payload, p.setAddresses(ip.SrcIP, ip.DstIP)
+	}
+	var ip layers.IPv4
+	if err := ip.DecodeFromBytes(b, gopacket.NilDecodeFeedback); err != nil {
+		return nil, nil, err
+	}
+	if err := verify(&ip); err != nil {
+		return nil, nil, err
+	}
+	p.Protocol, p.ID = Protocol(ip.Protocol), ip.Id
+	return &ip, ip.Payload, p.setAddresses(ip.SrcIP, ip.DstIP)
+}
+
+// transportLayer is what the layers UDP, TCP and ICMP have in common.
+type transportLayer interface {
+	DecodeFromBytes(b []byte, df gopacket.DecodeFeedback) error
+	VerifyChecksum() (error, gopacket.ChecksumVerificationResult)
+}
+
+func (p *Packet) parseTransport(network gopacket.NetworkLayer, b []byte) error {
+	switch p.Protocol {
+	case UDP:
+		var u layers.UDP
+		if err := decode(&u, network, b); err != nil {
+			return err
+		}
+		p.setPorts(uint16(u.SrcPort), uint16(u.DstPort))
+		p.Payload = u.Payload
+	case TCP:
+		var t layers.TCP
+		if err := decode(&t, network, b); err != nil {
+			return err
+		}
+		p.setPorts(uint16(t.SrcPort), uint16(t.DstPort))
+		p.Seq, p.Ack, p.Window, p.Flags, p.Payload = t.Seq, t.Ack, t.Window, tcpFlags(&t), t.Payload
+	case ICMP:
+		return p.parseICMPv4(b)
+	case ICMPv6:
+		return p.parseICMPv6(network, b)
+	default:
+		return errors.New("unsupported protocol")
+	}
+	return nil
+}
+
+func (p *Packet) parseICMPv4(b []byte) error {
+	var m layers.ICMPv4
+	if err := m.DecodeFromBytes(b, gopacket.NilDecodeFeedback); err != nil {
+		return err
+	}
+	if err := verify(&m); err != nil {
+		return err
+	}
+	if m.TypeCode == layers.CreateICMPv4TypeCode(layers.ICMPv4TypeDestinationUnreachable, layers.ICMPv4CodePort) {
+		p.Unreachable = parseEmbedded(m.Payload)
+	}
+	return nil
+}
+
+func (p *Packet) parseICMPv6(network gopacket.NetworkLayer, b []byte) error {
+	var m layers.ICMPv6
+	if err := decode(&m, network, b); err != nil {
+		return err
+	}
+	code := layers.CreateICMPv6TypeCode(layers.ICMPv6TypeDestinationUnreachable, layers.ICMPv6CodePortUnreachable)
+	if m.TypeCode == code && len(m.Payload) > 4 {
+		p.Unreachable = parseEmbedded(m.Payload[4:])
+	}
+	return nil
+}
+
+func decode(l interface {
+	transportLayer
+	checksummed
+}, network gopacket.NetworkLayer, b []byte) error {
+	if err := l.DecodeFromBytes(b, gopacket.NilDecodeFeedback); err != nil {
+		return err
+	}
+	if err := l.SetNetworkLayerForChecksum(network); err != nil {
+		return err
+	}
+	return verify(l)
+}
+
+func verify(l interface {
+	VerifyChecksum() (error, gopacket.ChecksumVerificationResult)
+}) error {
+	err, result := l.VerifyChecksum()
+	if err != nil {
+		return err
+	}
+	if !result.Valid {
+		return errors.Errorf("checksum %#04x, want %#04x", result.Actual, result.Correct)
+	}
+	return nil
+}
+
+func (p *Packet) setAddresses(src, dst []byte) error {
+	s, ok := netip.AddrFromSlice(src)
+	d, ok2 := netip.AddrFromSlice(dst)
+	if !ok || !ok2 {
+		return errors.New("parse packet: bad address")
+	}
+	p.Src, p.Dst = netip.AddrPortFrom(s.Unmap(), 0), netip.AddrPortFrom(d.Unmap(), 0)
+	return nil
+}
+
+func (p *Packet) setPorts(src, dst uint16) {
+	p.Src, p.Dst = netip.AddrPortFrom(p.Src.Addr(), src), netip.AddrPortFrom(p.Dst.Addr(), dst)
+}
+
+func tcpFlags(l *layers.TCP) Flags {
+	var f Flags
+	for _, bit := range []struct {
+		set  bool
+		flag Flags
+	}{{l.FIN, FIN}, {l.SYN, SYN}, {l.RST, RST}, {l.PSH, PSH}, {l.ACK, ACK}} {
+		if bit.set {
+			f |= bit.flag
+		}
+	}
+	return f
+}
+
+// parseEmbedded reads the addresses and ports of a quoted packet, which may be
+// cut off after 8 bytes of its transport header.
+func parseEmbedded(b []byte) *Embedded {
+	header, addresses, size, protocol := 20, 12, 4, 9
+	if len(b) > 0 && b[0]>>4 == 6 {
+		header, addresses, size, protocol = 40, 8, 16, 6
+	} else if len(b) > 0 {
+		header = int(b[0]&0xf) * 4
+	}
+	if len(b) < header+4 || header < 20 {
+		return nil
+	}
+	src, _ := netip.AddrFromSlice(b[addresses : addresses+size])
+	dst, _ := netip.AddrFromSlice(b[addresses+size : addresses+2*size])
+	return &Embedded{
+		Protocol: Protocol(b[protocol]),
+		Src:      netip.AddrPortFrom(src, binary.BigEndian.Uint16(b[header:])),
+		Dst:      netip.AddrPortFrom(dst, binary.BigEndian.Uint16(b[header+2:])),
+	}
+}
