--- a/internal/member/update.go
+++ b/internal/member/update.go
@@ -17,7 +17,7 @@
 	// daemon. Without a limit, two VMs with one name would outbid each other
 	// as fast as the network allows.
 	refutationRate  rate.Limit = 4 // a second
-	refutationBurst            = 8
+	refutationBurst int        = 8
 )
 
 // Apply merges records that the peer from sent.
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -25,6 +25,12 @@
 	byData map[netip.AddrPort]int
 }
 
+// NewView returns a View of the given records, for code that has them from
+// elsewhere than a Table. It sorts members in place.
+func NewView(self Member, members []Member, standing bool) *View {
+	return newView(self, members, standing)
+}
+
 func newView(self Member, members []Member, standing bool) *View {
 	v := &View{
 		Self: self, Members: members, Standing: standing,
--- /dev/null
+++ b/internal/peer/credentials.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"knapweedshore.example/internal/member"
+)
+
+// Identity is who a certificate of the private CA names.
+type Identity struct {
+	// Name is the certificate's common name: the member's name.
+	Name member.Name
+	// Region is the certificate's only organizational unit.
+	Region string
+}
+
+// Credentials are what a daemon or an operator proves its identity with.
+type Credentials struct {
+	Identity
+	certificate tls.Certificate
+	roots       *x509.CertPool
+}
+
+// LoadCredentials reads PEM files: the private CA, the own certificate and its
+// key.
+func LoadCredentials(caFile, certFile, keyFile string) (*Credentials, error) {
+	ca, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "read CA file")
+	}
+	cert, err := os.ReadFile(certFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "read certificate file")
+	}
+	key, err := os.ReadFile(keyFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "read key file")
+	}
+	return ParseCredentials(ca, cert, key)
+}
+
+// ParseCredentials reads the same as LoadCredentials from PEM text.
+func ParseCredentials(ca, cert, key []byte) (*Credentials, error) {
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(ca) {
+		return nil, errors.New("CA file has no certificate")
+	}
+	pair, err := tls.X509KeyPair(cert, key)
+	if err != nil {
+		return nil, errors.Wrap(err, "match certificate and key")
+	}
+	id, err := identityOf(pair.Leaf)
+	if err != nil {
+		return nil, err
+	}
+	return &Credentials{Identity: id, certificate: pair, roots: roots}, nil
+}
+
+func identityOf(cert *x509.Certificate) (Identity, error) {
+	units := cert.Subject.OrganizationalUnit
+	if cert.Subject.CommonName == "" || len(units) != 1 || units[0] == "" {
+		return Identity{}, refusedf("certificate %q must have a common name and one organizational unit, the region",
+			cert.Subject)
+	}
+	return Identity{Name: member.Name(cert.Subject.CommonName), Region: units[0]}, nil
+}
+
+// config returns the TLS settings for one side of a connection. Certificates
+// name members, not hosts, so the standard check of the host name is replaced
+// by check; the chain is verified against the private CA in both directions.
+func (c *Credentials) config(usage x509.ExtKeyUsage, check func(Identity) error) *tls.Config {
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		Certificates:           []tls.Certificate{c.certificate},
+		ClientAuth:             tls.RequireAnyClientCert,
+		InsecureSkipVerify:     true, // VerifyConnection does the verification
+		SessionTicketsDisabled: true, // links are long-lived; tickets would only cost bytes
+		VerifyConnection: func(state tls.ConnectionState) error {
+			id, err := c.verify(state, usage)
+			if err != nil {
+				return err
+			}
+			return check(id)
+		},
+	}
+}
+
+func (c *Credentials) verify(state tls.ConnectionState, usage x509.ExtKeyUsage) (Identity, error) {
+	if len(state.PeerCertificates) == 0 {
+		return Identity{}, refusedf("peer sent no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, cert := range state.PeerCertificates[1:] {
+		intermediates.AddCert(cert)
+	}
+	leaf := state.PeerCertificates[0]
+	_, err := leaf.Verify(x509.VerifyOptions{
+		Roots: c.roots, Intermediates: intermediates, KeyUsages: []x509.ExtKeyUsage{usage},
+	})
+	if err != nil {
+		return Identity{}, refusedf("verify certificate of %q: %v", leaf.Subject.CommonName, err)
+	}
+	return identityOf(leaf)
+}
+
+// accept returns the TLS settings for incoming connections.
+func (c *Credentials) accept() *tls.Config {
+	return c.config(x509.ExtKeyUsageClientAuth, func(Identity) error { return nil })
+}
+
+// connect returns the TLS settings for outgoing connections to peers that pass
+// the check.
+func (c *Credentials) connect(check func(Identity) error) *tls.Config {
+	return c.config(x509.ExtKeyUsageServerAuth, check)
+}
