Let the fabric use the carrier package

The fabric had its own Geneve socket until the carrier existed. It now uses carrier.Listen; the fake balancer of the tests keeps gopacket's codec, so that the tests run two independent codecs against each other.

--- a/standin/fabric/fabric.go
+++ b/standin/fabric/fabric.go
@@ -4,6 +4,7 @@
 package fabric
 
 import (
+	"bytes"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -11,7 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 
-	"knapweedshore.example/standin/fabric/geneve"
+	"knapweedshore.example/internal/carrier"
 	"knapweedshore.example/standin/fabric/inet"
 )
 
@@ -51,7 +52,7 @@
 
 // Fabric connects hosts with balancers.
 type Fabric struct {
-	wire    *geneve.Conn
+	wire    carrier.Conn
 	queue   *delayQueue
 	ledger  *Ledger
 	workers conc.WaitGroup
@@ -70,12 +71,12 @@
 	if !o.Listen.IsValid() {
 		o.Listen = netip.MustParseAddrPort("127.0.0.1:0")
 	}
-	wire, err := geneve.Listen(o.Listen)
+	conns, err := carrier.Listen(o.Listen, 1)
 	if err != nil {
 		return nil, errors.Wrap(err, "start fabric")
 	}
 	f := &Fabric{
-		wire: wire, queue: newDelayQueue(), ledger: newLedger(), net: newConditions(o.Seed),
+		wire: conns[0], queue: newDelayQueue(), ledger: newLedger(), net: newConditions(o.Seed),
 		hosts: make(map[netip.Addr]Host), byAddr: make(map[netip.AddrPort]*balancer),
 	}
 	f.workers.Go(f.queue.loop)
@@ -96,7 +97,7 @@
 
 // Addr returns the address from which balancers receive packets of hosts, and
 // to which they send packets for hosts.
-func (f *Fabric) Addr() netip.AddrPort { return f.wire.Addr() }
+func (f *Fabric) Addr() netip.AddrPort { return f.wire.LocalAddr() }
 
 // Ledger returns the record of flows.
 func (f *Fabric) Ledger() *Ledger { return f.ledger }
@@ -165,7 +166,8 @@
 }
 
 func (f *Fabric) transmit(packet []byte, to netip.AddrPort) {
-	if err := f.wire.Write(packet, to); err != nil && !f.closing.Load() {
+	out := []carrier.Outgoing{{Inner: packet, To: to}}
+	if _, err := f.wire.WriteBatch(out); err != nil && !f.closing.Load() {
 		f.mu.Lock()
 		f.counts.SendFailed++
 		f.mu.Unlock()
@@ -173,14 +175,17 @@
 }
 
 func (f *Fabric) receive() {
-	buf := make([]byte, geneve.MaxDatagram)
+	in := make([]carrier.Incoming, carrier.BatchSize)
 	for {
-		packet, from, err := f.wire.Read(buf)
+		n, err := f.wire.ReadBatch(in)
 		if f.closing.Load() {
 			return
 		}
-		if err == nil {
-			f.accept(packet, from)
+		if err != nil {
+			continue // a balancer's closed port; the next read succeeds
+		}
+		for _, packet := range in[:n] {
+			f.accept(bytes.Clone(packet.Inner), packet.From)
 		}
 	}
 }
--- a/standin/fabric/fabric_test.go
+++ b/standin/fabric/fabric_test.go
@@ -119,7 +119,7 @@
 			is := is.New(t)
 			f := newFabric(t)
 			f.SetCallerLatency(time.Millisecond)
-			f.SetLoss(0.002)
+			f.SetLoss(0.02)
 			f.Ledger().AddService(inet.UDP, a.service, "maps")
 			for _, s := range a.servers {
 				startServer(t, f, s, identity.Server, body)
--- a/standin/fabric/fabrictest/balancer.go
+++ b/standin/fabric/fabrictest/balancer.go
@@ -8,7 +8,6 @@
 
 	"github.com/sourcegraph/conc"
 
-	"knapweedshore.example/standin/fabric/geneve"
 	"knapweedshore.example/standin/fabric/inet"
 )
 
@@ -21,9 +20,9 @@
 // Balancer rewrites destinations by a hash of the caller, without state, so
 // that several of them agree. It knows no faults, overload or changes.
 type Balancer struct {
-	conn     *geneve.Conn
-	fabric   netip.AddrPort
-	services []Service
+	conn      *geneve
+	fabric    netip.AddrPort
+	services  []Service
 	misbehave Misbehaviour
 	worker    conc.WaitGroup
 }
@@ -35,7 +34,7 @@
 // Start runs a balancer until the test ends. misbehave may be nil.
 func Start(t testing.TB, fabric netip.AddrPort, services []Service, misbehave Misbehaviour) *Balancer {
 	t.Helper()
-	conn, err := geneve.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	conn, err := listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -46,18 +45,18 @@
 }
 
 // Addr returns the data address.
-func (b *Balancer) Addr() netip.AddrPort { return b.conn.Addr() }
+func (b *Balancer) Addr() netip.AddrPort { return b.conn.addr() }
 
 // Stop closes the socket at once.
 func (b *Balancer) Stop() {
-	_ = b.conn.Close()
+	_ = b.conn.conn.Close()
 	b.worker.Wait()
 }
 
 func (b *Balancer) run() {
-	buf := make([]byte, geneve.MaxDatagram)
+	buf := make([]byte, maxDatagram)
 	for {
-		packet, _, err := b.conn.Read(buf)
+		packet, _, err := b.conn.read(buf)
 		if err != nil {
 			return
 		}
@@ -77,7 +76,7 @@
 		out = b.misbehave(before, *p)
 	}
 	for _, packet := range out {
-		_ = b.conn.Write(packet, b.fabric) // lost, as on any network
+		_ = b.conn.write(packet, b.fabric) // lost, as on any network
 	}
 }
 
