Add the decision about each packet

Cause: owners, exceptions, tables and servers must act together on every packet of a flow. Change: package forward with views of the members, requests, responses, ICMP errors, table changes and ageing. Removed entries keep their id in the reservation, so that a new owner finds the endpoint of a removed server. Batches that close a flow no longer remove the entry of a flow that has another owner by now.

--- a/internal/exception/held.go
+++ b/internal/exception/held.go
@@ -83,7 +83,10 @@
 		h.forget(owner)
 	}
 	for _, fp := range b.GetClosed() {
-		h.remove(fp)
+		// The flow may have moved to another owner since.
+		if h.byFingerprint[fp].owner == owner {
+			h.remove(fp)
+		}
 	}
 	for _, m := range b.GetAdded() {
 		if h.put(owner, entryOf(m), now) {
--- a/internal/flow/state.go
+++ b/internal/flow/state.go
@@ -46,6 +46,12 @@
 	Deviated
 	// Replicated: the backup has acknowledged the flow's exception.
 	Replicated
+	// Inactive: the flow does not count as load of its server, because it has
+	// ended or has been idle for a while.
+	Inactive
+	// ResetPending: the caller's next segment is answered with a RST, because
+	// the flow is silent and its server is gone.
+	ResetPending
 	// finCaller, finServer: the caller or the server has sent a FIN.
 	finCaller
 	finServer
--- /dev/null
+++ b/internal/forward/changes.go
@@ -0,0 +1,150 @@
+package forward
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/exception"
+	"knapweedshore.example/internal/flow"
+	"knapweedshore.example/internal/member"
+	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/tables"
+)
+
+// ApplyTables puts a version of the tables in force for new flows and for the
+// directions of packets. Reassess must follow for the established flows.
+func (e *Engine) ApplyTables(s *tables.Snapshot, now time.Time) {
+	e.policy.Apply(s, now)
+	e.tables.Store(newTableView(s))
+}
+
+// Reassess finds the flows that a change of the tables has moved off their
+// default server, or back to it, and makes them known to the backup. It holds
+// one shard at a time and looks only at flows of routes that changed.
+func (e *Engine) Reassess(old, current *tables.Snapshot, now time.Time) {
+	changed := changedRoutes(old, current)
+	if len(changed) == 0 {
+		return
+	}
+	view := newTableView(current)
+	e.eachFlow(func(_ *flow.Shard, f *flow.Flow) {
+		if _, ok := changed[f.Route()]; ok {
+			e.setDeviation(f, !e.onDefault(f, view), now)
+		}
+	})
+}
+
+func (e *Engine) eachFlow(fn func(*flow.Shard, *flow.Flow)) {
+	for i := range e.flows.Shards() {
+		shard := e.flows.ShardAt(i)
+		shard.Lock()
+		shard.Each(func(f *flow.Flow) bool {
+			fn(shard, f)
+			return true
+		})
+		shard.Unlock()
+	}
+}
+
+// changedRoutes returns the routes whose flows may have another default server
+// in the current version.
+func changedRoutes(old, current *tables.Snapshot) map[tables.RouteID]struct{} {
+	changed := make(map[tables.RouteID]struct{})
+	if old == nil {
+		return changed
+	}
+	for _, r := range old.Routes() {
+		now, ok := current.RouteByID(r.ID)
+		if !ok || now.Pool != r.Pool || !samePool(old, current, r.Pool) {
+			changed[r.ID] = struct{}{}
+		}
+	}
+	return changed
+}
+
+// samePool reports whether the pool gives every flow the same default server
+// in both versions.
+func samePool(old, current *tables.Snapshot, name string) bool {
+	a, okA := old.Pool(name)
+	b, okB := current.Pool(name)
+	if !okA || !okB || len(a.Servers) != len(b.Servers) {
+		return okA == okB && !okA
+	}
+	for i := range a.Servers {
+		x, y := &a.Servers[i], &b.Servers[i]
+		if x.ID != y.ID || x.Weight != y.Weight || x.State != y.State {
+			return false
+		}
+	}
+	return true
+}
+
+// Moved returns the exceptions of flows whose slots other members own now, by
+// owner.
+func (e *Engine) Moved() map[member.Name][]exception.Entry {
+	view := e.view.Load()
+	moved := make(map[member.Name][]exception.Entry)
+	e.eachFlow(func(_ *flow.Shard, f *flow.Flow) {
+		to := view.Map.OwnerName(f.Slot())
+		if to != "" && to != view.Self && f.Has(flow.Deviated) {
+			moved[to] = append(moved[to], entryOf(f))
+		}
+	})
+	return moved
+}
+
+// DropForeign forgets the flows of slots that other members own, after
+// PredecessorPeriod.
+func (e *Engine) DropForeign(now time.Time) {
+	view := e.view.Load()
+	if !view.Standing {
+		return
+	}
+	e.eachFlow(func(shard *flow.Shard, f *flow.Flow) {
+		if !view.owns(f.Slot()) {
+			e.release(f, now)
+			shard.Close(f)
+		}
+	})
+}
+
+// Age expires idle flows and reports silent ones. It examines up to limit
+// flows and continues with the others at the next call.
+func (e *Engine) Age(now time.Time, limit int) {
+	e.flows.Expire(now, limit, func(_ *flow.Shard, f *flow.Flow, a flow.Ageing) {
+		switch a {
+		case flow.Expired:
+			e.release(f, now)
+			e.metrics.Count(metrics.FlowsExpired, 1)
+		case flow.Silent:
+			e.silent(f, now)
+		}
+	})
+}
+
+// silent reports a flow whose caller sends in vain. Only if its server is gone
+// is it certain that the flow cannot go on.
+func (e *Engine) silent(f *flow.Flow, now time.Time) {
+	e.metrics.Count(metrics.SilentFlows, 1)
+	e.log.Log(events.SilentFlow,
+		zap.Uint32("route_id", uint32(f.Route())),
+		zap.Uint32("server_id", uint32(f.Server())),
+		zap.Stringer("caller", f.Caller()))
+	t := e.tables.Load()
+	_, listed := t.ServerByID(f.Server())
+	if !listed || e.policy.Ejected(f.Server(), now) {
+		f.Set(flow.ResetPending)
+	}
+}
+
+// Deactivate takes flows that have been idle for InactiveAfter off the load of
+// their servers.
+func (e *Engine) Deactivate(now time.Time) {
+	e.eachFlow(func(_ *flow.Shard, f *flow.Flow) {
+		if idle := f.Idle(now); idle >= InactiveAfter {
+			e.deactivate(f, now)
+		}
+	})
+}
--- /dev/null
+++ b/internal/forward/engine.go
@@ -0,0 +1,293 @@
+// Package forward decides what happens to each packet: which member owns its
+// flow, which backend server the flow is on, and whether it is refused.
+package forward
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"knapweedshore.example/internal/carrier"
+	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/exception"
+	"knapweedshore.example/internal/flow"
+	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/owner"
+	"knapweedshore.example/internal/packet"
+	"knapweedshore.example/internal/selection"
+	"knapweedshore.example/internal/tables"
+)
+
+// MaxHops is how often balancers may pass a packet on among themselves. Three
+// hops reach the owner by way of a member with an older view; views agree
+// within seconds.
+const MaxHops = 3
+
+// MoveDelay is how long an opening TCP flow waits for its server before the
+// caller's next SYN may go to another one.
+const MoveDelay = time.Second
+
+// HeldExceptions finds exceptions that other owners have sent here.
+type HeldExceptions interface {
+	Lookup(fingerprint uint64) (exception.Entry, bool)
+	Remove(fingerprint uint64)
+}
+
+// OwnExceptions makes this daemon's exceptions known to its backup.
+type OwnExceptions interface {
+	Affordable(now time.Time) bool
+	Add(e exception.Entry, now time.Time)
+	Close(fingerprint uint64)
+}
+
+// Config holds what an Engine works with.
+type Config struct {
+	Flows     *flow.Table
+	Policy    selection.Policy
+	Held      HeldExceptions
+	Own       OwnExceptions
+	Metrics   *metrics.Registry
+	Log       *events.Logger
+	Fabrics   []netip.AddrPort
+	FlowLimit rate.Limit // new flows per second
+}
+
+// Engine handles packets. Its methods are safe for concurrent use.
+type Engine struct {
+	flows    *flow.Table
+	policy   selection.Policy
+	held     HeldExceptions
+	own      OwnExceptions
+	metrics  *metrics.Registry
+	log      *events.Logger
+	fabrics  []netip.AddrPort
+	isFabric map[netip.Addr]struct{}
+	newFlows *rate.Limiter
+	view     atomic.Pointer[View]
+	tables   atomic.Pointer[tableView]
+}
+
+// New returns an Engine that refuses packets until it has a view and tables.
+func New(c Config) *Engine {
+	e := &Engine{
+		flows: c.Flows, policy: c.Policy, held: c.Held, own: c.Own,
+		metrics: c.Metrics, log: c.Log, fabrics: c.Fabrics,
+		isFabric: make(map[netip.Addr]struct{}),
+		newFlows: rate.NewLimiter(c.FlowLimit, int(c.FlowLimit)),
+	}
+	for _, f := range c.Fabrics {
+		e.isFabric[f.Addr()] = struct{}{}
+	}
+	return e
+}
+
+// SetView replaces the picture of the members.
+func (e *Engine) SetView(v *View) { e.view.Store(v) }
+
+// Output collects the packets that a worker sends after a batch.
+type Output struct {
+	Packets []carrier.Outgoing
+	built   []byte // refusals built since the last Reset
+}
+
+// maxRefusalBytes is the room for one refusal: an ICMPv6 error with the
+// minimum IPv6 MTU.
+const maxRefusalBytes = 1280
+
+// NewOutput returns an Output with room for n packets.
+func NewOutput(n int) *Output {
+	return &Output{Packets: make([]carrier.Outgoing, 0, n), built: make([]byte, 0, n*maxRefusalBytes)}
+}
+
+// Reset empties the Output after its packets have been sent.
+func (o *Output) Reset() {
+	o.Packets = o.Packets[:0]
+	o.built = o.built[:0]
+}
+
+func (o *Output) send(inner []byte, to netip.AddrPort, hop carrier.Hop) {
+	o.Packets = append(o.Packets, carrier.Outgoing{Inner: inner, To: to, Hop: hop})
+}
+
+// job is one packet on its way through the Engine.
+type job struct {
+	in     *carrier.Incoming
+	out    *Output
+	now    time.Time
+	view   *View
+	tables *tableView
+	info   packet.Info
+	slot   uint32
+	caller netip.AddrPort
+	// response is set for packets from a backend server to a caller.
+	response bool
+	// asked is set when the predecessor has said that it does not know the
+	// flow.
+	asked bool
+}
+
+// address returns the service address of a request packet.
+func (j *job) address() tables.Address {
+	return tables.Address{AddrPort: j.info.Dst, Protocol: j.info.Protocol}
+}
+
+// Handle decides about one packet and appends what is to be sent to out. The
+// packet may be rewritten in place.
+func (e *Engine) Handle(in *carrier.Incoming, out *Output, now time.Time) {
+	e.metrics.Count(metrics.PacketsIn, 1)
+	j := job{in: in, out: out, now: now, view: e.view.Load(), tables: e.tables.Load()}
+	if reason, ok := e.admit(&j); !ok {
+		e.metrics.Refused(reason)
+		return
+	}
+	if reason, ok := e.dispatch(&j); !ok {
+		e.metrics.Refused(reason)
+	}
+}
+
+// admit checks the sender, parses the packet and finds its direction.
+func (e *Engine) admit(j *job) (metrics.Reason, bool) {
+	if j.view == nil {
+		return metrics.NoStanding, false
+	}
+	if !e.trusted(j) {
+		return metrics.UnknownSource, false
+	}
+	if err := packet.Parse(j.in.Inner, &j.info); err != nil {
+		return refusalOf(err), false
+	}
+	j.in.Inner = j.in.Inner[:j.info.Length]
+	if j.tables == nil {
+		return metrics.NoTables, false
+	}
+	return e.orient(j)
+}
+
+// trusted accepts plain packets from the fabric and packets with a hop option
+// from members. The fabric's source port varies by flow (RFC 8926, section
+// 3.3). A forged hop option can do no more than a plain packet.
+func (e *Engine) trusted(j *job) bool {
+	if j.in.Hop.Kind == carrier.HopNone {
+		_, ok := e.isFabric[j.in.From.Addr()]
+		return ok
+	}
+	_, ok := j.view.Known[j.in.From]
+	return ok
+}
+
+func refusalOf(err error) metrics.Reason {
+	switch r := err.(type) {
+	case *packet.RefusalError:
+		return r.Reason
+	case *selection.RefusalError:
+		return r.Reason
+	}
+	return metrics.Malformed
+}
+
+// orient finds out which end of the packet is the caller.
+func (e *Engine) orient(j *job) (metrics.Reason, bool) {
+	request := j.tables.isService(j.address())
+	// The embedded packet of an ICMP error travels against the error.
+	if j.info.ICMPError {
+		return e.orientError(j)
+	}
+	switch {
+	case request:
+		j.caller = j.info.Src
+	case j.tables.isEndpoint(j.info.Src):
+		j.caller, j.response = j.info.Dst, true
+	default:
+		return metrics.NoRoute, false
+	}
+	j.slot = owner.Slot(j.info.Protocol, j.caller)
+	return "", true
+}
+
+// dispatch decides here or sends the packet to the member that should.
+func (e *Engine) dispatch(j *job) (metrics.Reason, bool) {
+	switch j.in.Hop.Kind {
+	case carrier.HopPredecessor:
+		if e.known(j) || j.view.owns(j.slot) {
+			return e.decide(j)
+		}
+		return e.pass(j, j.in.From, carrier.HopUnknown)
+	case carrier.HopUnknown:
+		j.asked = true
+	}
+	if j.view.owns(j.slot) {
+		return e.decide(j)
+	}
+	to, ok := j.view.ownerAddress(j.slot)
+	if !ok {
+		return metrics.NoOwner, false
+	}
+	if !j.view.Standing {
+		return e.passWithoutStanding(j, to)
+	}
+	return e.pass(j, to, carrier.HopOwner)
+}
+
+// passWithoutStanding sends the packet to the owner among the other members.
+// These may still take this daemon for the owner: asked as a predecessor, they
+// do not send the packet back unless they do not know the flow.
+func (e *Engine) passWithoutStanding(j *job, to netip.AddrPort) (metrics.Reason, bool) {
+	if j.asked {
+		return metrics.NoStanding, false
+	}
+	return e.pass(j, to, carrier.HopPredecessor)
+}
+
+// pass sends the packet unchanged to another member.
+func (e *Engine) pass(j *job, to netip.AddrPort, kind carrier.HopKind) (metrics.Reason, bool) {
+	count := j.in.Hop.Count + 1
+	if count > MaxHops {
+		return metrics.HopLimit, false
+	}
+	e.metrics.Count(metrics.PacketsForwarded, 1)
+	j.out.send(j.in.Inner, to, carrier.Hop{Kind: kind, Count: count})
+	return "", true
+}
+
+// known reports whether this daemon has state of the flow.
+func (e *Engine) known(j *job) bool {
+	shard := e.flows.Shard(j.slot)
+	shard.Lock()
+	defer shard.Unlock()
+	if j.response {
+		return shard.Reverse(j.caller, j.info.Protocol, j.info.Src) != nil || e.heldResponse(j) != nil
+	}
+	if shard.Forward(j.caller, j.address()) != nil {
+		return true
+	}
+	_, ok := e.held.Lookup(flow.Fingerprint(j.caller, j.address()))
+	return ok
+}
+
+// decide handles the packet as the flow's owner.
+func (e *Engine) decide(j *job) (metrics.Reason, bool) {
+	shard := e.flows.Shard(j.slot)
+	shard.Lock()
+	defer shard.Unlock()
+	switch {
+	case j.info.ICMPError:
+		return e.deliverError(j, shard)
+	case j.response:
+		return e.response(j, shard)
+	}
+	return e.request(j, shard)
+}
+
+// deliver sends the packet to the fabric.
+func (e *Engine) deliver(j *job) (metrics.Reason, bool) {
+	e.metrics.Count(metrics.PacketsOut, 1)
+	j.out.send(j.in.Inner, e.fabric(j), carrier.Hop{})
+	return "", true
+}
+
+// fabric returns the fabric address that the packet's slot selects.
+func (e *Engine) fabric(j *job) netip.AddrPort {
+	return e.fabrics[int(j.slot)%len(e.fabrics)]
+}
--- /dev/null
+++ b/internal/forward/request.go
@@ -0,0 +1,239 @@
+package forward
+
+import (
+	"net/netip"
+
+	"github.com/go-faster/errors"
+
+	"knapweedshore.example/internal/carrier"
+	"knapweedshore.example/internal/exception"
+	"knapweedshore.example/internal/flow"
+	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/packet"
+	"knapweedshore.example/internal/selection"
+	"knapweedshore.example/internal/tables"
+)
+
+// request handles a packet from the caller. The flow's shard is locked.
+func (e *Engine) request(j *job, shard *flow.Shard) (metrics.Reason, bool) {
+	f := shard.Forward(j.caller, j.address())
+	if f != nil && f.Reopens(&j.info) {
+		e.close(shard, f, j)
+		f = nil
+	}
+	if f == nil {
+		return e.unknownRequest(j, shard)
+	}
+	if f.Has(flow.ResetPending) {
+		reason, ok := e.refuse(j, metrics.SilentFlow, false)
+		e.close(shard, f, j)
+		return reason, ok
+	}
+	if e.shouldMove(f, j) {
+		e.move(f, j, shard)
+	}
+	return e.toServer(j, f)
+}
+
+func (e *Engine) toServer(j *job, f *flow.Flow) (metrics.Reason, bool) {
+	change := f.Observe(flow.FromCaller, &j.info, j.now)
+	e.learn(f, change, j)
+	packet.RewriteDestination(j.in.Inner, &j.info, f.Endpoint())
+	return e.deliver(j)
+}
+
+// unknownRequest handles a packet of a flow without state: it may be known as
+// an exception, to the predecessor, or to nobody.
+func (e *Engine) unknownRequest(j *job, shard *flow.Shard) (metrics.Reason, bool) {
+	fp := flow.Fingerprint(j.caller, j.address())
+	if held, ok := e.held.Lookup(fp); ok {
+		if f, ok := e.resume(j, shard, held, j.address()); ok {
+			return e.toServer(j, f)
+		}
+	}
+	if to, ok := e.predecessor(j); ok {
+		return e.pass(j, to, carrier.HopPredecessor)
+	}
+	route, ok := j.tables.RouteFor(j.address())
+	if !ok {
+		return metrics.NoRoute, false
+	}
+	pool, ok := j.tables.Pool(route.Pool)
+	if !ok {
+		return metrics.NoUsableServer, false
+	}
+	if j.info.Protocol == tables.TCP && !j.info.IsSYN() {
+		return e.adoptRequest(j, shard, fp, route, pool)
+	}
+	return e.open(j, shard, fp, route, pool)
+}
+
+// predecessor returns the member to ask about an unknown flow first.
+func (e *Engine) predecessor(j *job) (netip.AddrPort, bool) {
+	if j.asked || j.in.Hop.Kind == carrier.HopPredecessor || j.in.Hop.Count+1 > MaxHops {
+		return netip.AddrPort{}, false
+	}
+	return j.view.predecessor(j.slot, j.now)
+}
+
+// resume continues a flow that another owner has opened, on the server that its
+// exception names.
+func (e *Engine) resume(j *job, shard *flow.Shard, held exception.Entry, address tables.Address) (*flow.Flow, bool) {
+	endpoint, ok := j.tables.endpoint(held.Server)
+	if !ok {
+		return nil, false
+	}
+	f, err := shard.Open(flow.Opening{
+		Slot: j.slot, Caller: j.caller, Address: address, Route: held.Route,
+		Server: held.Server, Endpoint: endpoint, State: resumedState(j.info.Protocol),
+		Flags: flow.Adopted | flow.Confirmed | flow.PayloadSent, Now: j.now,
+	})
+	if err != nil {
+		return nil, false
+	}
+	e.held.Remove(held.Fingerprint)
+	e.metrics.Count(metrics.FlowsAdopted, 1)
+	e.policy.Opened(held.Server, j.now)
+	e.deviate(f, held, j)
+	return f, true
+}
+
+func resumedState(p tables.Protocol) flow.State {
+	if p == tables.TCP {
+		return flow.TCPEstablished
+	}
+	return flow.UDPAnswered
+}
+
+// adoptRequest takes over an established TCP flow that nobody knows, on its
+// default server. The flow stays unconfirmed until that server responds.
+func (e *Engine) adoptRequest(j *job, shard *flow.Shard, fp uint64, route *tables.Route, pool *tables.Pool) (metrics.Reason, bool) {
+	server, ok := selection.Default(fp, pool)
+	if !ok {
+		return metrics.NoUsableServer, false
+	}
+	f, err := shard.Open(flow.Opening{
+		Slot: j.slot, Caller: j.caller, Address: j.address(), Route: route.ID,
+		Server: server.ID, Endpoint: server.Endpoint, State: flow.TCPEstablished,
+		Flags: flow.Adopted, Now: j.now,
+	})
+	if err != nil {
+		return openRefusal(err), false
+	}
+	e.metrics.Count(metrics.FlowsAdopted, 1)
+	e.policy.Opened(server.ID, j.now)
+	return e.toServer(j, f)
+}
+
+// open starts a flow on the server that the policy chooses, or refuses it.
+func (e *Engine) open(j *job, shard *flow.Shard, fp uint64, route *tables.Route, pool *tables.Pool) (metrics.Reason, bool) {
+	if !e.newFlows.AllowN(j.now, 1) {
+		return metrics.NewFlowRate, false
+	}
+	settling := j.info.Protocol == tables.UDP && j.view.settling(j.slot, j.now)
+	affordable := e.own.Affordable(j.now)
+	if !affordable {
+		e.metrics.Refused(metrics.ExceptionBudget)
+	}
+	choice, err := e.policy.Choose(selection.Request{
+		Key: fp, Pool: pool, Now: j.now,
+		DefaultOnly: settling || !affordable,
+		Avoid:       func(s *tables.Server) bool { return e.conflicts(j, shard, s) },
+	})
+	if err != nil {
+		return e.refuse(j, refusalOf(err), settling)
+	}
+	f, err := shard.Open(flow.Opening{
+		Slot: j.slot, Caller: j.caller, Address: j.address(), Route: route.ID,
+		Server: choice.Server.ID, Endpoint: choice.Server.Endpoint,
+		State: openingState(j.info.Protocol), Now: j.now,
+	})
+	if err != nil {
+		return e.refuse(j, openRefusal(err), settling)
+	}
+	e.metrics.Count(metrics.FlowsOpened, 1)
+	e.policy.Opened(choice.Server.ID, j.now)
+	if !choice.Default {
+		e.metrics.Count(metrics.FlowsDeviated, 1)
+		e.deviate(f, entryOf(f), j)
+	}
+	return e.toServer(j, f)
+}
+
+func openingState(p tables.Protocol) flow.State {
+	if p == tables.TCP {
+		return flow.TCPOpening
+	}
+	return flow.UDPUnanswered
+}
+
+// conflicts reports whether this caller already has a flow to the server, so
+// that the responses of two flows would look alike.
+func (e *Engine) conflicts(j *job, shard *flow.Shard, s *tables.Server) bool {
+	return shard.Reverse(j.caller, j.info.Protocol, s.Endpoint) != nil
+}
+
+func openRefusal(err error) metrics.Reason {
+	switch {
+	case errors.Is(err, flow.ErrFull):
+		return metrics.FlowTableFull
+	case errors.Is(err, flow.ErrReverseConflict):
+		return metrics.ReverseConflict
+	}
+	return metrics.Malformed
+}
+
+// refuse tells the caller that its flow was not opened. It stays silent when
+// the packet may belong to an established flow, whose earlier packets may have
+// reached a server.
+func (e *Engine) refuse(j *job, reason metrics.Reason, mayBeEstablished bool) (metrics.Reason, bool) {
+	if mayBeEstablished {
+		return reason, false
+	}
+	start := len(j.out.built)
+	if j.info.Protocol == tables.TCP {
+		j.out.built = packet.AppendReset(j.out.built, j.in.Inner, &j.info)
+	} else {
+		j.out.built = packet.AppendPortUnreachable(j.out.built, j.in.Inner, &j.info)
+	}
+	if len(j.out.built) > start {
+		j.out.send(j.out.built[start:len(j.out.built):len(j.out.built)], e.fabric(j), carrier.Hop{})
+	}
+	return reason, false
+}
+
+// shouldMove reports whether an opening flow may go to another server: its
+// server has not responded to an earlier SYN and has been sent no payload.
+func (e *Engine) shouldMove(f *flow.Flow, j *job) bool {
+	return j.info.IsSYN() && f.State() == flow.TCPOpening &&
+		!f.Has(flow.PayloadSent) && !f.Has(flow.Confirmed) &&
+		j.now.Sub(f.Opened()) >= MoveDelay
+}
+
+// move gives an opening flow another server. If there is none, the flow stays.
+func (e *Engine) move(f *flow.Flow, j *job, shard *flow.Shard) {
+	old := f.Server()
+	e.policy.Failed(old, j.now)
+	route, ok := j.tables.RouteFor(f.Address())
+	if !ok {
+		return
+	}
+	pool, ok := j.tables.Pool(route.Pool)
+	if !ok {
+		return
+	}
+	choice, err := e.policy.Choose(selection.Request{
+		Key: f.Fingerprint(), Pool: pool, Now: j.now,
+		Avoid: func(s *tables.Server) bool { return s.ID == old || e.conflicts(j, shard, s) },
+	})
+	if err != nil {
+		return
+	}
+	if err := shard.Rebind(f, choice.Server.ID, choice.Server.Endpoint); err != nil {
+		return
+	}
+	e.metrics.Retried(metrics.ServerMoved)
+	e.policy.Closed(old, f.Opened(), j.now)
+	e.policy.Opened(choice.Server.ID, j.now)
+	e.setDeviation(f, !choice.Default, j.now)
+}
--- /dev/null
+++ b/internal/forward/response.go
@@ -0,0 +1,127 @@
+package forward
+
+import (
+	"knapweedshore.example/internal/carrier"
+	"knapweedshore.example/internal/exception"
+	"knapweedshore.example/internal/flow"
+	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/packet"
+	"knapweedshore.example/internal/tables"
+)
+
+// response handles a packet from a backend server. The flow's shard is locked.
+func (e *Engine) response(j *job, shard *flow.Shard) (metrics.Reason, bool) {
+	f := shard.Reverse(j.caller, j.info.Protocol, j.info.Src)
+	if f == nil {
+		return e.unknownResponse(j, shard)
+	}
+	if j.info.TCPFlags&packet.FlagRST != 0 && f.Has(flow.Adopted) && !f.Has(flow.Confirmed) {
+		// The server only says that it does not know the flow; the flow may be
+		// alive on another one.
+		return metrics.ResetUnconfirmed, false
+	}
+	return e.toCaller(j, f)
+}
+
+func (e *Engine) toCaller(j *job, f *flow.Flow) (metrics.Reason, bool) {
+	change := f.Observe(flow.FromServer, &j.info, j.now)
+	e.learn(f, change, j)
+	packet.RewriteSource(j.in.Inner, &j.info, f.Address().AddrPort)
+	return e.deliver(j)
+}
+
+// unknownResponse handles a response of a flow without state. The response is
+// evidence that the flow is on this server.
+func (e *Engine) unknownResponse(j *job, shard *flow.Shard) (metrics.Reason, bool) {
+	if held := e.heldResponse(j); held != nil {
+		if f, ok := e.resume(j, shard, held.entry, held.address); ok {
+			return e.toCaller(j, f)
+		}
+	}
+	if to, ok := e.predecessor(j); ok {
+		return e.pass(j, to, carrier.HopPredecessor)
+	}
+	if j.info.TCPFlags&packet.FlagRST != 0 {
+		return metrics.AnswerUnknown, false
+	}
+	ref, ok := j.tables.ServerAt(j.info.Src)
+	if !ok {
+		return metrics.AnswerUnknown, false
+	}
+	route, ok := j.onlyRoute(ref.Pool.Name)
+	if !ok {
+		return metrics.AnswerUnknown, false
+	}
+	return e.adoptResponse(j, shard, route, ref.Server)
+}
+
+// adoptResponse continues a flow on the server that responds, unless the flow
+// is confirmed on another server.
+func (e *Engine) adoptResponse(j *job, shard *flow.Shard, route *tables.Route, server *tables.Server) (metrics.Reason, bool) {
+	f := shard.Forward(j.caller, route.Address)
+	if f != nil {
+		if !f.Has(flow.Adopted) || f.Has(flow.Confirmed) {
+			return metrics.AnswerUnknown, false
+		}
+		old := f.Server()
+		if err := shard.Rebind(f, server.ID, server.Endpoint); err != nil {
+			return openRefusal(err), false
+		}
+		e.policy.Closed(old, f.Opened(), j.now)
+	} else {
+		opened, err := shard.Open(flow.Opening{
+			Slot: j.slot, Caller: j.caller, Address: route.Address, Route: route.ID,
+			Server: server.ID, Endpoint: server.Endpoint,
+			State: resumedState(j.info.Protocol), Flags: flow.Adopted, Now: j.now,
+		})
+		if err != nil {
+			return openRefusal(err), false
+		}
+		f = opened
+		e.metrics.Count(metrics.FlowsAdopted, 1)
+	}
+	e.policy.Opened(server.ID, j.now)
+	f.Set(flow.PayloadSent)
+	e.setDeviation(f, !e.onDefault(f, j.tables), j.now)
+	return e.toCaller(j, f)
+}
+
+// onlyRoute returns the one route of the packet's protocol that names the pool.
+// With several, the caller's next packet must tell which one it uses.
+func (j *job) onlyRoute(pool string) (*tables.Route, bool) {
+	var found *tables.Route
+	for _, r := range j.tables.RoutesOf(pool) {
+		if r.Address.Protocol != j.info.Protocol {
+			continue
+		}
+		if found != nil {
+			return nil, false
+		}
+		found = r
+	}
+	return found, found != nil
+}
+
+type heldFlow struct {
+	entry   exception.Entry
+	address tables.Address
+}
+
+// heldResponse finds the exception of the flow that a response belongs to. The
+// route is not in the packet, so every route of the server's pool is tried.
+func (e *Engine) heldResponse(j *job) *heldFlow {
+	ref, ok := j.tables.ServerAt(j.info.Src)
+	if !ok {
+		return nil
+	}
+	for _, r := range j.tables.RoutesOf(ref.Pool.Name) {
+		if r.Address.Protocol != j.info.Protocol {
+			continue
+		}
+		held, ok := e.held.Lookup(flow.Fingerprint(j.caller, r.Address))
+		if ok && held.Server == ref.Server.ID {
+			return &heldFlow{entry: held, address: r.Address}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/forward/world_test.go
@@ -0,0 +1,284 @@
+package forward
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+
+	"knapweedshore.example/internal/carrier"
+	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/exception"
+	"knapweedshore.example/internal/flow"
+	"knapweedshore.example/internal/member"
+	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/packet"
+	"knapweedshore.example/internal/selection"
+	"knapweedshore.example/internal/tables"
+	"knapweedshore.example/peerapi"
+)
+
+var (
+	fabricAddr = netip.MustParseAddrPort("192.0.2.200:6081")
+	tcpService = tables.Address{AddrPort: netip.MustParseAddrPort("203.0.113.1:443"), Protocol: tables.TCP}
+	udpService = tables.Address{AddrPort: netip.MustParseAddrPort("203.0.113.2:443"), Protocol: tables.UDP}
+	testStart  = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// node is one engine with its own state, without sockets.
+type node struct {
+	name    member.Name
+	data    netip.AddrPort
+	engine  *Engine
+	tracker *Tracker
+	held    *exception.Held
+	metrics *metrics.Registry
+	policy  selection.Policy
+	record  member.Member
+	sent    []exception.Entry
+}
+
+// Affordable, Add and Close make node an OwnExceptions that records.
+func (n *node) Affordable(time.Time) bool          { return true }
+func (n *node) Add(e exception.Entry, _ time.Time) { n.sent = append(n.sent, e) }
+func (n *node) Close(uint64)                       {}
+func (n *node) refused(r metrics.Reason) int64     { return n.metrics.Refusals().Value(r) }
+func (n *node) flows() int                         { return n.engine.flows.Len() }
+func (n *node) exception(fp uint64) (exception.Entry, bool) {
+	for _, e := range n.sent {
+		if e.Fingerprint == fp {
+			return e, true
+		}
+	}
+	return exception.Entry{}, false
+}
+
+// world connects engines directly and collects what reaches the fabric.
+type world struct {
+	t      *testing.T
+	now    time.Time
+	nodes  map[member.Name]*node
+	order  []*node
+	tables *tables.Snapshot
+}
+
+// delivered is a packet that reached the fabric.
+type delivered struct {
+	src, dst netip.AddrPort
+	flags    uint8
+	icmp     bool
+	by       member.Name
+}
+
+func newWorld(t *testing.T, names ...member.Name) *world {
+	w := &world{t: t, now: testStart, nodes: make(map[member.Name]*node), tables: tables.Empty()}
+	for _, n := range names {
+		w.add(n)
+	}
+	w.refresh()
+	return w
+}
+
+func (w *world) add(name member.Name) *node {
+	i := len(w.order) + 1
+	n := &node{
+		name: name, data: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 255, 0, byte(i)}), 6081),
+		tracker: NewTracker(), held: exception.NewHeld(1000), metrics: metrics.NewRegistry(),
+		policy: selection.NewRendezvous(),
+	}
+	n.record = member.Member{Name: name, Zone: fmt.Sprint("zone-", i%2), Data: n.data, Capacity: 100, Incarnation: 1}
+	n.engine = New(Config{
+		Flows: flow.NewTable(10_000), Policy: n.policy, Held: n.held, Own: n, Metrics: n.metrics,
+		Log: events.Discard(), Fabrics: []netip.AddrPort{fabricAddr}, FlowLimit: 100_000,
+	})
+	w.nodes[name] = n
+	w.order = append(w.order, n)
+	return n
+}
+
+// refresh gives every engine the present records and tables.
+func (w *world) refresh() {
+	for _, n := range w.order {
+		w.refreshNode(n, true)
+	}
+}
+
+func (w *world) refreshNode(n *node, standing bool) {
+	records := make([]member.Member, 0, len(w.order))
+	for _, o := range w.order {
+		records = append(records, o.record)
+	}
+	n.engine.SetView(n.tracker.Update(member.NewView(n.record, records, standing), w.now))
+	if w.tables.Version() > 0 {
+		n.engine.ApplyTables(w.tables, w.now)
+	}
+}
+
+func (w *world) setState(name member.Name, s member.State) {
+	w.nodes[name].record.State = s
+	w.refresh()
+}
+
+// change applies operations to the tables of every engine.
+func (w *world) change(ops ...tables.Operation) {
+	w.t.Helper()
+	old := w.tables
+	next, err := old.Apply(tables.Delta{
+		Version: old.Version() + 1, WriteID: tables.NewWriteID(), Author: "test", Time: w.now, Operations: ops,
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.tables = next
+	w.refresh()
+	for _, n := range w.order {
+		n.engine.Reassess(old, next, w.now)
+	}
+}
+
+func backend(i int) tables.Server {
+	return tables.Server{
+		Name:     fmt.Sprint("s", i),
+		Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 8443),
+		Zone:     "zone-0", State: tables.Active,
+	}.WithDefaults()
+}
+
+// services adds a TCP and a UDP service with three backend servers each.
+func (w *world) services() {
+	w.change(
+		tables.PutPool{Name: "despacho", Servers: []tables.Server{backend(1), backend(2), backend(3)}},
+		tables.PutPool{Name: "mapas", Servers: []tables.Server{backend(4), backend(5), backend(6)}},
+		tables.PutRoute{Name: "despacho", Address: tcpService, Pool: "despacho"},
+		tables.PutRoute{Name: "mapas", Address: udpService, Pool: "mapas"},
+	)
+}
+
+// send hands a packet to one engine and follows it through the others.
+func (w *world) send(at *node, b []byte) []delivered {
+	w.t.Helper()
+	return w.handle(at, &carrier.Incoming{Inner: b, From: fabricAddr})
+}
+
+func (w *world) handle(at *node, in *carrier.Incoming) []delivered {
+	w.t.Helper()
+	out := NewOutput(4)
+	at.engine.Handle(in, out, w.now)
+	var result []delivered
+	for _, p := range out.Packets {
+		if p.To == fabricAddr {
+			result = append(result, w.parse(at, p.Inner))
+			continue
+		}
+		for _, n := range w.order {
+			if n.data == p.To && n.record.State != member.Dead {
+				next := &carrier.Incoming{Inner: append([]byte(nil), p.Inner...), From: at.data, Hop: p.Hop}
+				result = append(result, w.handle(n, next)...)
+			}
+		}
+	}
+	return result
+}
+
+func (w *world) parse(by *node, b []byte) delivered {
+	w.t.Helper()
+	var info packet.Info
+	if err := packet.Parse(b, &info); err != nil {
+		w.t.Fatalf("delivered packet is invalid: %v", err)
+	}
+	d := delivered{src: info.Src, dst: info.Dst, flags: info.TCPFlags, icmp: info.ICMPError, by: by.name}
+	if info.ICMPError {
+		d.dst = netip.AddrPortFrom(info.OuterDst, 0)
+	}
+	return d
+}
+
+// one sends a packet and expects exactly one packet at the fabric.
+func (w *world) one(at *node, b []byte) delivered {
+	w.t.Helper()
+	got := w.send(at, b)
+	if len(got) != 1 {
+		w.t.Fatalf("%d packets reached the fabric, want 1", len(got))
+	}
+	return got[0]
+}
+
+// none sends a packet and expects that nothing reaches the fabric.
+func (w *world) none(at *node, b []byte) {
+	w.t.Helper()
+	if got := w.send(at, b); len(got) != 0 {
+		w.t.Fatalf("%+v reached the fabric, want nothing", got)
+	}
+}
+
+// ownerOf returns the engine that owns the caller's slot.
+func (w *world) ownerOf(p tables.Protocol, caller netip.AddrPort) *node {
+	return w.nodes[w.order[0].engine.view.Load().Map.OwnerName(slotOf(p, caller))]
+}
+
+func callerAt(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 51, 100, byte(i >> 8)}), uint16(20000+i))
+}
+
+// callerOf returns a caller whose TCP and UDP slots both belong to n.
+func (w *world) callerOf(n *node) netip.AddrPort {
+	for i := range 10_000 {
+		c := callerAt(i)
+		if w.ownerOf(tables.TCP, c) == n && w.ownerOf(tables.UDP, c) == n {
+			return c
+		}
+	}
+	w.t.Fatal("no caller of this node")
+	return netip.AddrPort{}
+}
+
+func segment(src, dst netip.AddrPort, flags uint8, payload int) []byte {
+	tcp := &layers.TCP{
+		SrcPort: layers.TCPPort(src.Port()), DstPort: layers.TCPPort(dst.Port()), Seq: 1, Ack: 1, Window: 1024,
+		SYN: flags&packet.FlagSYN != 0, ACK: flags&packet.FlagACK != 0,
+		RST: flags&packet.FlagRST != 0, FIN: flags&packet.FlagFIN != 0,
+	}
+	return serialize(src, dst, layers.IPProtocolTCP, tcp, tcp, payload)
+}
+
+func datagram(src, dst netip.AddrPort) []byte {
+	udp := &layers.UDP{SrcPort: layers.UDPPort(src.Port()), DstPort: layers.UDPPort(dst.Port())}
+	return serialize(src, dst, layers.IPProtocolUDP, udp, udp, 100)
+}
+
+type checksummed interface {
+	SetNetworkLayerForChecksum(gopacket.NetworkLayer) error
+}
+
+func serialize(src, dst netip.AddrPort, p layers.IPProtocol, l gopacket.SerializableLayer, c checksummed, payload int) []byte {
+	ip := &layers.IPv4{Version: 4, TTL: 64, Protocol: p, SrcIP: src.Addr().AsSlice(), DstIP: dst.Addr().AsSlice()}
+	if err := c.SetNetworkLayerForChecksum(ip); err != nil {
+		panic(err)
+	}
+	buf := gopacket.NewSerializeBuffer()
+	opts := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	if err := gopacket.SerializeLayers(buf, opts, ip, l, gopacket.Payload(make([]byte, payload))); err != nil {
+		panic(err)
+	}
+	return buf.Bytes()
+}
+
+// backUp stores every exception of n at its backup.
+func (w *world) backUp(n *node) {
+	w.t.Helper()
+	record, ok := n.tracker.last.Backup(n.name)
+	if !ok {
+		w.t.Fatalf("%q has no backup", n.name)
+	}
+	backup := w.nodes[record.Name]
+	b := &peerapi.ExceptionBatch{Owner: string(n.name), Incarnation: n.record.Incarnation}
+	for _, e := range n.sent {
+		b.Added = append(b.Added, &peerapi.Exception{
+			Fingerprint: e.Fingerprint, RouteId: uint32(e.Route), ServerId: uint32(e.Server), Slot: e.Slot,
+		})
+	}
+	backup.held.Store(b, w.now)
+}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -30,6 +30,7 @@
 	TablesRegressed   Reason = "table_version_regressed"
 	StoreBudget       Reason = "store_budget"
 	SendFailed        Reason = "send_failed"
+	SilentFlow        Reason = "silent_flow"
 )
 
 var refusalReasons = []Reason{
@@ -38,6 +39,7 @@
 	FlowTableFull, NewFlowRate, NoStanding, NoOwner, NoTables, ResetUnconfirmed,
 	ICMPUnknownFlow, StaleTables, StaleMember, PeerNotMember, PeerRefused, LinkQueueFull, ExceptionBudget,
 	ExceptionStale, TablesRegressed, StoreBudget, SendFailed,
+	SilentFlow,
 }
 
 // Reasons for repeating a call.
--- a/internal/packet/rewrite.go
+++ b/internal/packet/rewrite.go
@@ -39,7 +39,7 @@
 // It updates the outer, the embedded and the ICMP checksums, and info. The
 // addresses must be of the packet's IP version, as for RewriteDestination.
 func RewriteICMPError(b []byte, info *Info, outerDst netip.Addr, embeddedSrc netip.AddrPort) {
-	info.rewriteEmbedded(b, embeddedSrc)
+	info.rewriteEmbedded(b, embeddedSrc, ipv4Src, ipv6Src, srcPort)
 	var d delta
 	replaceAddr(b, outerDst, info.v6, ipv4Dst, ipv6Dst, &d)
 	if info.v6 {
@@ -51,18 +51,26 @@
 	info.Src, info.OuterDst = embeddedSrc, outerDst
 }
 
-// rewriteEmbedded changes the embedded source. Every changed word, checksums
-// included, is covered by the ICMP checksum.
-func (i *Info) rewriteEmbedded(b []byte, src netip.AddrPort) {
+// RewriteICMPErrorDestination replaces the embedded destination address and
+// port of an ICMP error, so that the caller that sent the embedded packet
+// recognizes it. The outer addresses stay as they are.
+func RewriteICMPErrorDestination(b []byte, info *Info, embeddedDst netip.AddrPort) {
+	info.rewriteEmbedded(b, embeddedDst, ipv4Dst, ipv6Dst, dstPort)
+	info.Dst = embeddedDst
+}
+
+// rewriteEmbedded changes one end of the embedded packet. Every changed word,
+// checksums included, is covered by the ICMP checksum.
+func (i *Info) rewriteEmbedded(b []byte, to netip.AddrPort, v4, v6, at int) {
 	ip, t := b[i.embedded:i.Length], b[i.inner:i.Length]
 	var icmp, d delta
-	replaceAddr(ip, src.Addr(), i.v6, ipv4Src, ipv6Src, &d)
+	replaceAddr(ip, to.Addr(), i.v6, v4, v6, &d)
 	icmp = d
 	if !i.v6 {
 		icmp.replace16(ip[ipv4Checksum:], d.update(be.Uint16(ip[ipv4Checksum:])))
 	}
 	var port delta
-	port.replace16(t[srcPort:], src.Port())
+	port.replace16(t[at:], to.Port())
 	icmp += port
 	i.rewriteEmbeddedTransport(t, d+port, &icmp)
 	updateChecksum(b[i.transport+icmpChecksum:], icmp)
--- a/internal/tables/reservation.go
+++ b/internal/tables/reservation.go
@@ -28,14 +28,14 @@
 	var out []Reservation
 	for _, r := range old.routes {
 		if _, kept := s.RouteByID(r.ID); !kept {
-			out = append(out, Reservation{Address: r.Address, Owner: r.Name, Until: until})
+			out = append(out, Reservation{Address: r.Address, ID: uint32(r.ID), Owner: r.Name, Until: until})
 		}
 	}
 	for _, p := range old.pools {
 		for _, srv := range p.Servers {
 			if _, kept := s.ServerByID(srv.ID); !kept {
 				a := Address{AddrPort: srv.Endpoint}
-				out = append(out, Reservation{Address: a, Owner: serverOwner(p.Name, srv.Name), Until: until})
+				out = append(out, Reservation{Address: a, ID: uint32(srv.ID), Owner: serverOwner(p.Name, srv.Name), Until: until})
 			}
 		}
 	}
