--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -36,6 +36,7 @@
 	TablesRegressed = Event{301, fail, "store returned an older table version", "the store was restored from a backup; apply the tables again"}
 	TablesInvalid   = Event{302, fail, "tables refused", "another tool has written to the tables' keys"}
 	TablesOld       = Event{303, warn, "tables not confirmed to be newest", "check the store and the zone's network"}
+	FetchFailed     = Event{304, warn, "tables not fetched from a peer", "none, unless it repeats for one peer"}
 	StoreDown       = Event{310, warn, "store call failed", "check the platform store"}
 	StoreBack       = Event{311, info, "store answers again", "none"}
 )
@@ -56,7 +57,7 @@
 	return []Event{
 		DaemonStarted, DaemonLeaving, DaemonStopped, DaemonPaused, StandingBack, DaemonFailed,
 		MemberJoined, MemberLeaving, MemberSuspected, MemberDied, MemberRefuted, LinkOpened, LinkLost, PeerRefused,
-		TablesApplied, TablesRegressed, TablesInvalid, TablesOld, StoreDown, StoreBack,
+		TablesApplied, TablesRegressed, TablesInvalid, TablesOld, FetchFailed, StoreDown, StoreBack,
 		ServerEjected, ServerReinstated, EjectionFloor, SilentFlow, FlowTableFull, NewFlowLimited, BackupChanged,
 	}
 }
