--- /dev/null
+++ b/internal/member/table_test.go
@@ -0,0 +1,295 @@
+package member
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/metrics"
+)
+
+const testRegion = "cartago"
+
+func testMember(name Name, zone string) Member {
+	return Member{
+		Name: name, Region: testRegion, Zone: zone, Capacity: 1, Incarnation: 1,
+		Control: netip.MustParseAddrPort("127.0.0.1:1"), Data: netip.MustParseAddrPort("127.0.0.1:2"),
+	}
+}
+
+func newTestTable(t interface{ Fatal(...any) }, name Name, zone string, expectPeers bool) *Table {
+	table, err := New(Config{
+		Self: testMember(name, zone), ExpectPeers: expectPeers,
+		Events: events.Discard(), Metrics: metrics.NewRegistry(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+// run starts the table's loop in a synctest bubble.
+func run(t *testing.T, table *Table) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = table.Run(t.Context())
+	}()
+	t.Cleanup(func() { <-done })
+}
+
+func state(table *Table, n Name) State {
+	m, ok := table.View().Get(n)
+	if !ok {
+		return unknown
+	}
+	return m.State
+}
+
+// Guards against a crash that is noticed too late or too early.
+func TestSilentMemberIsSuspectedThenDead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTestTable(t, "a", "z1", false)
+		run(t, table)
+		table.Apply("b", []Member{testMember("b", "z1")})
+		table.Heard("b", 0)
+		time.Sleep(SuspectAfter - time.Millisecond)
+		is.Equal(state(table, "b"), Alive)
+		time.Sleep(2 * tickInterval)
+		is.Equal(state(table, "b"), Suspect)
+		is.Equal(len(table.View().Serving()), 2) // slots stay until the death
+		time.Sleep(RefutationWait)
+		is.Equal(state(table, "b"), Dead)
+		is.Equal(len(table.View().Serving()), 1)
+		is.Equal(table.cfg.Metrics.Totals().Value(metrics.MembersDied), int64(1))
+	})
+}
+
+// Guards against a live member that cannot clear itself of a suspicion, also
+// one that arrives as a death from the other side of a partition.
+func TestSuspectedMemberRefutes(t *testing.T) {
+	for _, claim := range []State{Suspect, Dead} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			accuser, accused := newTestTable(t, "a", "z1", false), newTestTable(t, "b", "z1", false)
+			run(t, accuser)
+			accuser.Apply("b", []Member{accused.View().Self})
+			record := accused.View().Self
+			record.State = claim
+			accuser.Apply("c", []Member{record})
+			is.Equal(state(accuser, "b"), Suspect) // its slots do not move yet
+			accused.OnRecords(func(changed []Member, _ Name) { accuser.Apply("b", changed) })
+			accused.Apply("a", []Member{record})
+			is.Equal(state(accuser, "b"), Alive)
+			time.Sleep(RefutationWait + 2*tickInterval)
+			is.Equal(state(accuser, "b"), Alive)
+		})
+	}
+}
+
+// Guards against a leaving member that owns slots again because it is
+// suspected, and whose crash then goes unnoticed.
+func TestLeavingMemberNeverServesAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table, leaver := newTestTable(t, "a", "z1", false), newTestTable(t, "b", "z1", false)
+		run(t, table)
+		late := leaver.View().Self
+		late.State = Suspect
+		leaver.Leave()
+		table.Apply("b", []Member{leaver.View().Self})
+		table.Apply("c", []Member{late}) // a suspicion from before it began to leave
+		table.OnChange(func(v *View) { is.Equal(len(v.Serving()), 1) })
+		is.Equal(state(table, "b"), Leaving)
+		time.Sleep(SuspectAfter + RefutationWait + 2*tickInterval)
+		is.Equal(state(table, "b"), Dead)
+	})
+}
+
+// Guards against a daemon that decides with the view from before a pause: the
+// standing is gone before the loop runs again, and comes back only with an
+// acknowledgement of the new incarnation.
+func TestPausedMemberLosesStanding(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(t, "a", "z1", false)
+	start := time.Now()
+	table.apply("b", []Member{testMember("b", "z1")}, start)
+	table.tick(start)
+	is.True(table.Standing(start.Add(PauseLimit)))
+	resumed := start.Add(PauseLimit + time.Millisecond)
+	is.True(!table.Standing(resumed)) // the loop has not noticed yet
+	old := table.View().Self.Incarnation
+	table.tick(resumed)
+	is.True(!table.Standing(resumed))
+	is.Equal(state(table, "b"), Alive) // silence during the own pause is no evidence
+	table.heard("b", old, resumed)
+	is.True(!table.Standing(resumed))
+	table.heard("b", old+1, resumed)
+	is.True(table.Standing(resumed))
+}
+
+// Guards against an isolated VM that never serves again, and against one that
+// takes all slots although a peer is near.
+func TestStandingWithoutPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		is.True(newTestTable(t, "single", "z1", false).Standing(time.Now()))
+		alone, joining := newTestTable(t, "alone", "z1", true), newTestTable(t, "joining", "z1", true)
+		run(t, alone)
+		run(t, joining)
+		for range 4 {
+			is.True(!alone.Standing(time.Now()))
+			time.Sleep(IsolationWait / 4)
+			joining.Heard("peer", 0) // reachable, but has not acknowledged
+		}
+		time.Sleep(2 * tickInterval)
+		is.True(alone.Standing(time.Now()))
+		is.True(!joining.Standing(time.Now()))
+	})
+}
+
+// Guards against one broken link that floods the region with suspicions.
+func TestRepeatedSuspicionsSlowDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTestTable(t, "a", "z1", false)
+		run(t, table)
+		suspicions := 0
+		table.OnRecords(func(changed []Member, _ Name) {
+			for _, m := range changed {
+				if m.State == Suspect {
+					suspicions++
+					m.Incarnation, m.State = m.Incarnation+1, Alive
+					table.Apply("c", []Member{m})
+				}
+			}
+		})
+		table.Apply("c", []Member{testMember("b", "z1")})
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.Equal(suspicions, 5) // after 1, 2, 4, 8, 16 s of silence
+	})
+}
+
+// Guards against two VMs with one name that outbid each other without limit.
+func TestRefutationsAreLimited(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(t, "a", "z1", false)
+	now := time.Now()
+	for range 100 {
+		claim := table.View().Self
+		claim.Incarnation++
+		table.apply("b", []Member{claim}, now)
+	}
+	is.Equal(table.View().Self.Incarnation, uint64(1+2*refutationBurst))
+}
+
+// Guards against a removal by the lagging VM list of a member that is alive or
+// was heard, and against dead members that stay for good.
+func TestPruneKeepsWhoSendsHeartbeats(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(t, "a", "z1", false)
+	now := time.Now()
+	for _, n := range []Name{"alive", "dead", "heard", "listed"} {
+		m := testMember(n, "z1")
+		if n != "alive" {
+			m.State = Dead
+		}
+		table.apply("b", []Member{m}, now)
+	}
+	listed := map[Name]bool{"listed": true}
+	table.prune(listed, now.Add(RemovalDelay-1))
+	is.Equal(len(table.View().Members), 5)
+	table.heard("heard", 0, now.Add(RemovalDelay-1))
+	table.prune(listed, now.Add(RemovalDelay))
+	is.Equal(len(table.View().Members), 4)
+	is.Equal(state(table, "dead"), unknown)
+}
+
+// Guards against members of another region and malformed records in the table.
+func TestForeignRegionIsRefused(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(t, "a", "z1", false)
+	m := testMember("b", "z1")
+	m.Region = "tn-north"
+	table.Apply("b", []Member{m})
+	is.Equal(state(table, "b"), unknown)
+	is.Equal(table.cfg.Metrics.Refusals().Value(metrics.PeerNotMember), int64(1))
+	_, err := FromRecord(m.Record())
+	is.NoErr(err)
+	m.Incarnation = maxIncarnation + 1
+	_, err = FromRecord(m.Record())
+	is.True(err != nil)
+}
+
+// Guards against callbacks that see changes in another order, or deadlock when
+// they change the table.
+func TestCallbacksRunInOrder(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(t, "a", "z1", false)
+	var sizes []int
+	table.OnChange(func(v *View) {
+		sizes = append(sizes, len(v.Members))
+		if n := len(v.Members); n < 5 {
+			table.Apply("b", []Member{testMember(Name(fmt.Sprint("m", n)), "z1")})
+		}
+	})
+	table.Apply("b", []Member{testMember("m0", "z1")})
+	is.Equal(sizes, []int{2, 3, 4, 5})
+}
+
+// Guards against a ring without a link to another zone, and against daemons
+// that disagree on a backup or on the watchers.
+func TestRingLinksBackupsAndWatchers(t *testing.T) {
+	is := is.New(t)
+	var all []Member
+	for i := range 24 {
+		m := testMember(Name(fmt.Sprint("vm", i)), "z1")
+		if i%8 == 0 {
+			m.Zone = "z2"
+		}
+		all = append(all, m)
+	}
+	all[1].State, all[2].State, all[3].State = Dead, Left, Leaving
+	reference := newView(all[0], slices.Clone(all), true)
+	for _, self := range all {
+		v := newView(self, slices.Clone(all), true)
+		links := v.Successors()
+		is.Equal(len(links), LinkCount)
+		is.True(slices.ContainsFunc(links, func(m Member) bool { return m.Zone != self.Zone }))
+		is.True(!slices.ContainsFunc(links, func(m Member) bool { return m.ended() || m.Name == self.Name }))
+		for _, owner := range all {
+			got, ok := v.Backup(owner.Name)
+			want, _ := reference.Backup(owner.Name)
+			is.True(ok)
+			is.Equal(got, want)
+			is.True(got.Serves() && got.Zone != owner.Zone)
+		}
+		is.Equal(v.Watchers("z1"), reference.Watchers("z1"))
+	}
+	is.Equal(len(reference.Watchers("z1")), WatchersPerZone)
+	is.Equal(len(reference.Watchers("nowhere")), 0)
+}
+
+// Guards against a search for new neighbours that stops at a suspected one.
+func TestSuspectsDoNotUseUpLinks(t *testing.T) {
+	is := is.New(t)
+	all := []Member{testMember("self", "z1")}
+	for i := range 8 {
+		all = append(all, testMember(Name(fmt.Sprint("vm", i)), "z1"))
+	}
+	before := newView(all[0], slices.Clone(all), true).Successors()
+	for i := range all {
+		if all[i].Name == before[0].Name {
+			all[i].State = Suspect
+		}
+	}
+	is.Equal(len(newView(all[0], all, true).Successors()), LinkCount+1)
+}
