--- /dev/null
+++ b/standin/backend/tcp.go
@@ -0,0 +1,81 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+
+	"knapweedshore.example/standin/fabric/host"
+)
+
+// Status words of the line protocol. The first line of a response is a status
+// and the length of the body.
+const (
+	StatusOK   = "200"
+	StatusShed = "503"
+)
+
+// listenTCP serves the line protocol until the returned function is called.
+func (s *Server) listenTCP(workers *conc.WaitGroup) (func(), error) {
+	listener, err := s.host.ListenTCP(s.o.Endpoint.Port(), func() bool { return !s.full() })
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	workers.Go(func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.connectionOpened()
+			workers.Go(func() { s.serveTCP(ctx, c) })
+		}
+	})
+	return func() {
+		cancel()
+		_ = listener.Close()
+	}, nil
+}
+
+// serveTCP answers requests until the caller half-closes, and then closes.
+func (s *Server) serveTCP(ctx context.Context, c *host.TCPConn) {
+	defer s.connectionClosed()
+	stop := context.AfterFunc(ctx, c.Reset)
+	defer stop()
+	lines := bufio.NewReader(c)
+	for {
+		line, err := lines.ReadString('\n')
+		if errors.Is(err, io.EOF) && line == "" {
+			break
+		}
+		if err == nil {
+			err = s.answerLine(ctx, line, c)
+		}
+		if err != nil {
+			c.Reset()
+			return
+		}
+	}
+	_ = c.Close()
+	_ = c.WaitClosed() // the caller reports what went wrong
+}
+
+func (s *Server) answerLine(ctx context.Context, line string, w io.Writer) error {
+	r, err := ParseLine(line)
+	if err != nil {
+		return err
+	}
+	err = s.respond(ctx, r, func(length int64) io.Writer {
+		_, _ = fmt.Fprintf(w, "%s %d\n", StatusOK, length) // the body's write reports the error
+		return w
+	})
+	if errors.Is(err, ErrShed) {
+		_, err = fmt.Fprintf(w, "%s 0\n", StatusShed)
+	}
+	return err
+}
--- a/standin/fabric/fabric.go
+++ b/standin/fabric/fabric.go
@@ -92,7 +92,10 @@
 	err := f.wire.Close()
 	f.queue.close()
 	f.workers.Wait()
-	return errors.Wrap(err, "close fabric")
+	if err != nil {
+		return errors.Wrap(err, "close fabric")
+	}
+	return nil
 }
 
 // Addr returns the address from which balancers receive packets of hosts, and
--- a/standin/fabric/fabrictest/geneve.go
+++ b/standin/fabric/fabrictest/geneve.go
@@ -65,6 +65,8 @@
 	if err != nil {
 		return errors.Wrap(err, "encode Geneve header")
 	}
-	_, err = g.conn.WriteToUDPAddrPort(buf.Bytes(), to)
-	return errors.Wrapf(err, "send to balancer %q", to)
+	if _, err = g.conn.WriteToUDPAddrPort(buf.Bytes(), to); err != nil {
+		return errors.Wrapf(err, "send to %q", to)
+	}
+	return nil
 }
--- a/standin/fabric/host/tcpreceive.go
+++ b/standin/fabric/host/tcpreceive.go
@@ -83,11 +83,19 @@
 		return
 	}
 	c.expected = p.Seq + 1
-	c.state = established
-	c.acknowledge(p.Ack)
+	c.establish()
 	c.sendControl(inet.ACK, c.next)
 }
 
+// establish takes the acknowledgement of the connection's own SYN.
+func (c *TCPConn) establish() {
+	c.state = established
+	c.unacked = c.next
+	c.attempts = 0
+	c.transmit()
+	c.wake.Broadcast()
+}
+
 func (c *TCPConn) receiveRepeatedSYN() {
 	if c.state == synReceived {
 		c.sendControl(inet.SYN|inet.ACK, c.unacked)
@@ -101,7 +109,7 @@
 		if p.Ack != c.next {
 			return
 		}
-		c.state = established
+		c.establish()
 		if c.accept != nil {
 			c.accept(c)
 		}
