--- a/standin/store/memory.go
+++ b/standin/store/memory.go
@@ -44,7 +44,7 @@
 	}
 	written, lost, err := m.p.swap(key, data, revision)
 	if err := m.p.delay(ctx); err != nil {
-		return 0, errors.Wrapf(store.ErrUnknownOutcome, "swap %q: %v", key, err)
+		return 0, errors.Wrapf(&store.CallError{Kind: store.ErrUnknownOutcome, Cause: err}, "swap %q", key)
 	}
 	if lost {
 		return 0, errors.Wrapf(store.ErrUnknownOutcome, "swap %q", key)
@@ -66,10 +66,14 @@
 
 // Watch implements store.Store.
 func (m *Memory) Watch(ctx context.Context, key string, after uint64) (store.Value, error) {
+	return m.watch(ctx, key, after, m.p.options.WatchWait)
+}
+
+func (m *Memory) watch(ctx context.Context, key string, after uint64, wait time.Duration) (store.Value, error) {
 	if err := m.p.admitRead(ctx); err != nil {
 		return store.Value{}, err
 	}
-	end := time.NewTimer(m.p.options.WatchWait)
+	end := time.NewTimer(min(wait, m.p.options.WatchWait))
 	defer end.Stop()
 	for {
 		m.p.mu.Lock()
@@ -86,7 +90,7 @@
 		case <-end.C:
 			return store.Value{}, errors.Wrapf(store.ErrNotModified, "watch %q", key)
 		case <-ctx.Done():
-			return store.Value{}, errors.Wrapf(ctx.Err(), "watch %q", key)
+			return store.Value{}, errors.Wrapf(&store.CallError{Kind: store.ErrUnavailable, Cause: ctx.Err()}, "watch %q", key)
 		}
 	}
 }
@@ -104,7 +108,7 @@
 		return err
 	}
 	if err := p.delay(ctx); err != nil {
-		return errors.Wrap(store.ErrUnavailable, err.Error())
+		return &store.CallError{Kind: store.ErrUnavailable, Cause: err}
 	}
 	return nil
 }
--- a/standin/store/platform.go
+++ b/standin/store/platform.go
@@ -1,7 +1,8 @@
 // Package store is a stand-in of the platform store for dev and tests: one
 // state with compare-and-swap, leases, watches, rate limits, the lagging list
 // of VMs and switches for faults. Memory reaches the state without sockets,
-// Server over HTTP on loopback.
+// Server over HTTP on loopback. Inside a synctest bubble, make the Platform in
+// the bubble too.
 package store
 
 import (
@@ -18,7 +19,7 @@
 const (
 	DefaultWritesPerSecond = 300
 	DefaultReadsPerSecond  = 2000
-	DefaultWatchWait       = 30 * time.Second
+	DefaultWatchWait       = store.WatchWait
 )
 
 // Options configures a Platform. Zero fields get their defaults.
