--- /dev/null
+++ b/internal/peer/cluster_test.go
@@ -0,0 +1,169 @@
+package peer
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/member"
+	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/tables"
+	"knapweedshore.example/peerapi"
+)
+
+const testRegion = "cartago"
+
+// fakeTables is a version that heartbeats carry.
+type fakeTables struct{ version atomic.Uint64 }
+
+func (f *fakeTables) Version() tables.Version                          { return tables.Version(f.version.Load()) }
+func (f *fakeTables) Age() time.Duration                               { return time.Second }
+func (f *fakeTables) Heard(member.Name, tables.Version, time.Duration) {}
+func (f *fakeTables) Offer(_ member.Name, v tables.Version, _ []byte)  { f.version.Store(uint64(v)) }
+func (f *fakeTables) Fetch(v tables.Version) *peerapi.FetchTablesResponse {
+	return &peerapi.FetchTablesResponse{Version: uint64(v) + 1}
+}
+
+// fakeHandler answers calls with what shows that they arrived.
+type fakeHandler struct{ table *member.Table }
+
+func (f fakeHandler) StoreExceptions(_ member.Name, b *peerapi.ExceptionBatch) *peerapi.ExceptionAck {
+	return &peerapi.ExceptionAck{Stored: uint32(len(b.GetAdded()))}
+}
+
+func (f fakeHandler) Status() *peerapi.StatusResponse {
+	return &peerapi.StatusResponse{Self: f.table.View().Self.Record()}
+}
+
+// testNode is a daemon that has only members and links.
+type testNode struct {
+	*Node
+	name   member.Name
+	zone   string
+	table  *member.Table
+	tables *fakeTables
+}
+
+// cluster runs test nodes, on a network in memory if net is set and on
+// loopback otherwise.
+type cluster struct {
+	t         testing.TB
+	net       *memNet
+	authority *Authority
+	contacts  []netip.AddrPort
+	nodes     []*testNode
+	group     conc.WaitGroup
+}
+
+func newCluster(t testing.TB, network *memNet) *cluster {
+	authority, err := NewAuthority()
+	check(t, err)
+	c := &cluster{t: t, net: network, authority: authority}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.Kill()
+		}
+		c.group.Wait()
+	})
+	return c
+}
+
+func check(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// start adds a member. The first one is the contact of all others.
+func (c *cluster) start(name member.Name, zone string) *testNode {
+	self := member.Member{Name: name, Region: testRegion, Zone: zone, Capacity: 1}
+	config := Config{Contacts: c.contacts, Events: events.Discard(), Metrics: metrics.NewRegistry()}
+	if c.net != nil {
+		self.Control = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(c.nodes) + 1)}), 1)
+		config.Listener = c.net.listen(self.Control)
+		config.Dial = c.net.dialFrom(self.Control)
+	} else {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		check(c.t, err)
+		config.Listener, self.Control = l, l.Addr().(*net.TCPAddr).AddrPort()
+	}
+	self.Data = self.Control
+	return c.run(self, config)
+}
+
+func (c *cluster) run(self member.Member, config Config) *testNode {
+	table, err := member.New(member.Config{
+		Self: self, ExpectPeers: len(c.contacts) > 0, Events: config.Events, Metrics: config.Metrics,
+	})
+	check(c.t, err)
+	config.Credentials, err = c.authority.Issue(self.Name, self.Region)
+	check(c.t, err)
+	n := &testNode{name: self.Name, zone: self.Zone, table: table, tables: new(fakeTables)}
+	config.Table, config.Tables, config.Handler = table, n.tables, fakeHandler{table}
+	n.Node, err = New(config)
+	check(c.t, err)
+	c.contacts = append(c.contacts, self.Control)[:1]
+	c.nodes = append(c.nodes, n)
+	c.group.Go(func() { _ = n.Run(c.t.Context()) })
+	c.group.Go(func() { _ = table.Run(c.t.Context()) })
+	return n
+}
+
+// startZones starts count members, one zone after the other.
+func (c *cluster) startZones(count int, zones ...string) {
+	for i := range count {
+		c.start(member.Name(fmt.Sprintf("vm-%d", i)), zones[i%len(zones)])
+	}
+}
+
+// agree reports whether all nodes consider exactly the wanted ones as serving
+// and hold their standing.
+func agree(nodes []*testNode, want []*testNode) bool {
+	for _, n := range nodes {
+		if !n.table.Standing(time.Now()) || !servesExactly(n.table.View(), want) {
+			return false
+		}
+	}
+	return true
+}
+
+func servesExactly(v *member.View, want []*testNode) bool {
+	for _, n := range want {
+		if m, ok := v.Get(n.name); !ok || m.State != member.Alive {
+			return false
+		}
+	}
+	return len(v.Serving()) == len(want)
+}
+
+// within waits for a condition and returns how long that took.
+func within(t testing.TB, limit time.Duration, what string, condition func() bool) time.Duration {
+	t.Helper()
+	started := time.Now()
+	for !condition() {
+		if time.Since(started) > limit {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+// splitByZone returns the nodes in a zone and the others.
+func (c *cluster) splitByZone(zone string) (in, out []*testNode) {
+	for _, n := range c.nodes {
+		if n.zone == zone {
+			in = append(in, n)
+		} else {
+			out = append(out, n)
+		}
+	}
+	return in, out
+}
--- a/internal/peer/error.go
+++ b/internal/peer/error.go
@@ -26,6 +26,14 @@
 	return &Error{Step: step, Peer: peer, Err: err}
 }
 
+// wrap adds a step to an error and keeps nil, which errors.Wrap does not.
+func wrap(err error, step string) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Wrap(err, step)
+}
+
 // Causes of errors that callers tell apart.
 var (
 	// ErrRefused means that the peer did not prove to be who it should be.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -84,7 +84,7 @@
 // exchangeHello sends the own hello and checks the peer's. The dialling side
 // speaks first.
 func (l *link) exchangeHello(id Identity) (hello, error) {
-	send := func() error { return errors.Wrap(l.stream.Send(l.node.hello()), "send hello") }
+	send := func() error { return wrap(l.stream.Send(l.node.hello()), "send hello") }
 	if l.outbound {
 		if err := send(); err != nil {
 			return hello{}, err
@@ -201,7 +201,7 @@
 		default:
 		}
 		time.AfterFunc(farewellWait, l.abort)
-		return errors.Wrap(l.stream.CloseSend(), "close link")
+		return wrap(l.stream.CloseSend(), "close link")
 	}
 }
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
@@ -104,7 +103,7 @@
 	<-ctx.Done()
 	n.closeAll()
 	n.group.Wait()
-	return errors.Wrap(n.calls.Close(), "close call connections")
+	return wrap(n.calls.Close(), "close call connections")
 }
 
 // Kill closes the listener and all connections at once, without telling the
--- a/internal/tablesync/fetch.go
+++ b/internal/tablesync/fetch.go
@@ -54,7 +54,10 @@
 		}
 		err = s.take(r, from, peers)
 	}
-	return errors.Wrapf(err, "take tables of peer %q", from)
+	if err != nil {
+		return errors.Wrapf(err, "take tables of peer %q", from)
+	}
+	return nil
 }
 
 // take applies a peer's answer.
