Build one daemon from its parts

Cause: members, tables, flows and exceptions have to act together in one process. Result: packages owner, exception and forward pass with the race detector. The balancer's own loopback test still waits for links to come up and is not part of this commit.

--- /dev/null
+++ b/internal/balancer/worker.go
@@ -0,0 +1,57 @@
+package balancer
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"knapweedshore.example/internal/carrier"
+	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/forward"
+	"knapweedshore.example/internal/metrics"
+)
+
+// work reads batches from one connection and sends what the engine decides,
+// until the connection is closed.
+func (b *Balancer) work(conn carrier.Conn) error {
+	in := make([]carrier.Incoming, carrier.BatchSize)
+	out := forward.NewOutput(carrier.BatchSize)
+	for {
+		n, err := conn.ReadBatch(in)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			b.log.Log(events.DaemonFailed, zap.String("step", "read packets"), zap.Error(err))
+			return err
+		}
+		// Read after the packets have arrived: a daemon that was paused
+		// before must notice it.
+		now := time.Now()
+		for i := range in[:n] {
+			b.engine.Handle(&in[i], out, now)
+		}
+		b.flush(conn, out)
+	}
+}
+
+// flush sends the collected packets. One that cannot be sent is counted and
+// left to the ends' retransmission.
+func (b *Balancer) flush(conn carrier.Conn, out *forward.Output) {
+	packets := out.Packets
+	for len(packets) > 0 {
+		n, err := conn.WriteBatch(packets)
+		packets = packets[n:]
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
+		b.metrics.Refused(metrics.SendFailed)
+		packets = packets[1:]
+	}
+	out.Reset()
+}
--- a/internal/exception/handover.go
+++ b/internal/exception/handover.go
@@ -36,15 +36,31 @@
 }
 
 // Accept takes a batch from another daemon. Entries of a hand-over now belong
-// to self: they are kept under its name and become exceptions of its own, so
-// that its backup learns of them.
+// to self.
 func Accept(h *Held, s *Sender, self member.Member, b *peerapi.ExceptionBatch, now time.Time) *peerapi.ExceptionAck {
 	if b.GetHandover() {
-		b.Owner, b.Incarnation, b.Replace = string(self.Name), self.Incarnation, false
-		for _, m := range b.GetAdded() {
-			s.Add(entryOf(m), now)
-		}
+		return adopt(h, s, self, b.GetAdded(), now)
 	}
 	stored, refused := h.Store(b, now)
 	return &peerapi.ExceptionAck{Stored: uint32(stored), Refused: uint32(refused)}
 }
+
+// Adopt makes entries that were kept for another owner those of self.
+func Adopt(h *Held, s *Sender, self member.Member, entries []Entry, now time.Time) {
+	messages := make([]*peerapi.Exception, 0, len(entries))
+	for _, e := range entries {
+		messages = append(messages, e.message())
+	}
+	adopt(h, s, self, messages, now)
+}
+
+// adopt keeps the entries under the name of self and adds them to its own
+// exceptions, so that its backup learns of them.
+func adopt(h *Held, s *Sender, self member.Member, added []*peerapi.Exception, now time.Time) *peerapi.ExceptionAck {
+	for _, m := range added {
+		s.Add(entryOf(m), now)
+	}
+	own := &peerapi.ExceptionBatch{Owner: string(self.Name), Incarnation: self.Incarnation, Added: added}
+	stored, refused := h.Store(own, now)
+	return &peerapi.ExceptionAck{Stored: uint32(stored), Refused: uint32(refused)}
+}
--- /dev/null
+++ b/internal/exception/keeper.go
@@ -0,0 +1,73 @@
+package exception
+
+import (
+	"context"
+	"time"
+
+	"knapweedshore.example/internal/member"
+	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/peerapi"
+)
+
+// Keeper moves exceptions to where their flows are owned when the members
+// change.
+type Keeper struct {
+	Held    *Held
+	Sender  *Sender
+	Peers   Peers
+	Metrics *metrics.Registry
+}
+
+// Accept takes a batch from another daemon, which must be its owner or the one
+// that hands it over.
+func (k *Keeper) Accept(self member.Member, from member.Name, b *peerapi.ExceptionBatch, now time.Time) *peerapi.ExceptionAck {
+	if member.Name(b.GetOwner()) != from {
+		k.Metrics.Refused(metrics.PeerNotMember)
+		return &peerapi.ExceptionAck{Refused: uint32(len(b.GetAdded()))}
+	}
+	ack := Accept(k.Held, k.Sender, self, b, now)
+	k.Metrics.Count(metrics.ExceptionsStored, int64(ack.GetStored()))
+	return ack
+}
+
+// HandOver sends exceptions to the new owners of their slots: moved, which are
+// those of this daemon's own flows, and those kept for owners that no longer
+// serve.
+func (k *Keeper) HandOver(ctx context.Context, v *member.View, ownerOf func(slot uint32) member.Name, moved map[member.Name][]Entry, now time.Time) {
+	for _, name := range k.Held.Owners() {
+		if record, known := v.Get(name); known && record.Serves() && name != v.Self.Name {
+			continue
+		}
+		for _, e := range k.Held.Of(name) {
+			to := ownerOf(e.Slot)
+			moved[to] = append(moved[to], e)
+		}
+	}
+	Adopt(k.Held, k.Sender, v.Self, moved[v.Self.Name], now)
+	delete(moved, v.Self.Name)
+	delete(moved, "") // no member owns slots
+	for to, entries := range moved {
+		if err := HandOver(ctx, k.Peers, v.Self, to, entries); err != nil {
+			// The new owner still asks this daemon for unknown flows.
+			k.Metrics.Retried(metrics.ExceptionResend)
+			continue
+		}
+		k.Metrics.Count(metrics.ExceptionsHandover, int64(len(entries)))
+	}
+}
+
+// DropStale forgets the exceptions of owners that no longer serve or have
+// another backup now. It must not run before their flows have been handed over
+// and the new owners have stopped asking.
+func (k *Keeper) DropStale(v *member.View) {
+	for _, name := range k.Held.Owners() {
+		if name == v.Self.Name {
+			continue
+		}
+		record, known := v.Get(name)
+		backup, _ := v.Backup(name)
+		if !known || !record.Serves() || backup.Name != v.Self.Name {
+			k.Held.Forget(name)
+		}
+	}
+}
--- a/internal/forward/changes.go
+++ b/internal/forward/changes.go
@@ -10,6 +10,7 @@
 	"knapweedshore.example/internal/flow"
 	"knapweedshore.example/internal/member"
 	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/owner"
 	"knapweedshore.example/internal/tables"
 )
 
@@ -148,3 +149,8 @@
 		}
 	})
 }
+
+// Owner returns the member that owns a slot, or "".
+func (e *Engine) Owner(slot uint32) member.Name {
+	return e.view.Load().Map.OwnerName(slot % owner.Slots)
+}
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -52,6 +52,9 @@
 	Log       *events.Logger
 	Fabrics   []netip.AddrPort
 	FlowLimit rate.Limit // new flows per second
+	// Standing reports whether this daemon may decide about flows at a time.
+	// Nil stands for always.
+	Standing func(now time.Time) bool
 }
 
 // Engine handles packets. Its methods are safe for concurrent use.
@@ -65,6 +68,7 @@
 	fabrics  []netip.AddrPort
 	isFabric map[netip.Addr]struct{}
 	newFlows *rate.Limiter
+	standing func(now time.Time) bool
 	view     atomic.Pointer[View]
 	tables   atomic.Pointer[tableView]
 }
@@ -75,7 +79,10 @@
 		flows: c.Flows, policy: c.Policy, held: c.Held, own: c.Own,
 		metrics: c.Metrics, log: c.Log, fabrics: c.Fabrics,
 		isFabric: make(map[netip.Addr]struct{}),
-		newFlows: rate.NewLimiter(c.FlowLimit, int(c.FlowLimit)),
+		newFlows: rate.NewLimiter(c.FlowLimit, int(c.FlowLimit)), standing: c.Standing,
+	}
+	if e.standing == nil {
+		e.standing = func(time.Time) bool { return true }
 	}
 	for _, f := range c.Fabrics {
 		e.isFabric[f.Addr()] = struct{}{}
@@ -210,6 +217,8 @@
 func (e *Engine) dispatch(j *job) (metrics.Reason, bool) {
 	switch j.in.Hop.Kind {
 	case carrier.HopPredecessor:
+		// No standing is needed: the sender owns the slot, and a known flow
+		// stays where it is.
 		if e.known(j) || j.view.owns(j.slot) {
 			return e.decide(j)
 		}
@@ -217,6 +226,10 @@
 	case carrier.HopUnknown:
 		j.asked = true
 	}
+	if j.view.Standing && !e.standing(j.now) {
+		// The pause is so recent that the view does not show it yet.
+		return metrics.NoStanding, false
+	}
 	if j.view.owns(j.slot) {
 		return e.decide(j)
 	}
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -24,7 +24,9 @@
 }
 
 // NewTracker returns a Tracker that knows no members.
-func NewTracker() *Tracker { return &Tracker{current: owner.NewMap(nil)} }
+func NewTracker() *Tracker { return newTracker(owner.NewMap(nil)) }
+
+func newTracker(empty *owner.Map) *Tracker { return &Tracker{current: empty} }
 
 // Update returns the View for a new picture of the members.
 func (t *Tracker) Update(v *member.View, now time.Time) *View {
--- a/internal/owner/map.go
+++ b/internal/owner/map.go
@@ -29,9 +29,12 @@
 }
 
 // NewMap computes the owners of all slots.
-func NewMap(candidates []Candidate) *Map { return newMap(Slots, candidates) }
+func NewMap(candidates []Candidate) *Map { return NewSizedMap(Slots, candidates) }
 
-func newMap(slots int, candidates []Candidate) *Map {
+// NewSizedMap is NewMap with another number of slots, a power of two: slots of
+// Slot that are equal modulo it share an owner. Tests with many membership
+// changes use a small one.
+func NewSizedMap(slots int, candidates []Candidate) *Map {
 	empty := &Map{index: map[member.Name]int{}, owners: make([]int32, slots), scores: make([]float64, slots)}
 	for slot := range empty.owners {
 		empty.owners[slot] = NoOwner
@@ -135,11 +138,13 @@
 }
 
 // Owner returns the index of the slot's owner, or NoOwner.
-func (m *Map) Owner(slot uint32) int { return int(m.owners[slot]) }
+func (m *Map) Owner(slot uint32) int { return int(m.owners[m.at(slot)]) }
+
+func (m *Map) at(slot uint32) int { return int(slot) & (len(m.owners) - 1) }
 
 // OwnerName returns the name of the slot's owner, or "" without members.
 func (m *Map) OwnerName(slot uint32) member.Name {
-	i := m.owners[slot]
+	i := m.owners[m.at(slot)]
 	if i == NoOwner {
 		return ""
 	}
