--- a/internal/selection/pool.go
+++ b/internal/selection/pool.go
@@ -15,13 +15,14 @@
 	TuneInterval = 100 * time.Millisecond
 	// GainPerSecond is the relative correction for each second in which a
 	// server is used twice as much as the mean.
-	GainPerSecond = 0.05
+	GainPerSecond = 0.02
 	// GainPerFlow bounds the correction for one flow of average length, so that
 	// an owner with few flows learns from many of them rather than from the
 	// last one.
 	GainPerFlow = 0.05
-	// MaxCorrection bounds corrections to 1/MaxCorrection … MaxCorrection.
-	MaxCorrection = 4
+	// MaxCorrection bounds corrections to 1/MaxCorrection … MaxCorrection. A
+	// bound that single long flows reach loses part of what was learned.
+	MaxCorrection = 16
 	// maxTuneStep bounds the time that one correction stands for, after a pause
 	// without new flows.
 	maxTuneStep = time.Second
