Keep a pool's measurements over table versions

A new version reset the mean utilisation of its pools, so that until the next tuning every busy server was beyond its bound and flows left their defaults.

--- a/internal/selection/chooser.go
+++ b/internal/selection/chooser.go
@@ -69,7 +69,7 @@
 func (c *Chooser) Choose(r Request) (Choice, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := walk{request: r, now: c.at(r.Now), share: c.share, pool: c.pool(r.Pool)}
+	w := walk{request: r, now: c.at(r.Now), share: c.share, pool: c.pool(r.Pool, c.at(r.Now))}
 	w.survey()
 	switch {
 	case w.usable == 0 && w.full > 0:
@@ -81,8 +81,8 @@
 }
 
 // pool returns the records of the pool. A pool of a version that was not
-// applied is looked up server by server and is not tuned.
-func (c *Chooser) pool(t *tables.Pool) *pool {
+// applied is looked up server by server; its corrections are left alone.
+func (c *Chooser) pool(t *tables.Pool, now instant) *pool {
 	if known, ok := c.index.pools[t]; ok {
 		return known
 	}
@@ -95,6 +95,8 @@
 		}
 		c.unapplied.servers = append(c.unapplied.servers, rec)
 	}
+	c.unapplied.measure(now)
+	c.unapplied.tunedAt = now
 	return &c.unapplied
 }
 
@@ -139,8 +141,8 @@
 
 // Apply takes over a new version of the tables. Servers that appear are cold,
 // except in the first version; servers that vanish are forgotten. The index is
-// built before the lock is taken, so that choices wait only for a pointer to
-// change. Apply a version before the first Choose with its pools.
+// built before the lock is taken, so that choices wait only for the
+// change of indexes. Apply a version before the first Choose with its pools.
 func (c *Chooser) Apply(s *tables.Snapshot, now time.Time) {
 	pools := make([]*tables.Pool, len(s.Pools()))
 	for i := range pools {
@@ -155,5 +157,6 @@
 	next := newIndex(c.index, pools, c.at(now))
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	next.inherit(c.index)
 	c.index = next
 }
--- a/internal/selection/chooser_test.go
+++ b/internal/selection/chooser_test.go
@@ -287,6 +287,28 @@
 	is.Equal(c.Server, &f.pool.Servers[1])
 }
 
+// Guards against a version, applied or not, that sends flows off their default
+// because the utilisation of the pool is unknown.
+func TestNewVersionKeepsFlowsOnTheirDefault(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(4)
+	for _, s := range f.pool.Servers {
+		f.Opened(s.ID, start)
+	}
+	now := start.Add(time.Minute)
+	_, err := f.Choose(f.request(now)) // measures the utilisations
+	is.NoErr(err)
+	next := newPool([]uint32{100, 100, 100, 100}, 2)
+	for _, step := range []func(){func() {}, func() { f.applyPools([]*tables.Pool{next}, now) }} {
+		step()
+		for key := range uint64(100) {
+			c, err := f.Choose(Request{Key: key, Pool: next, Now: now})
+			is.NoErr(err)
+			is.True(c.Default)
+		}
+	}
+}
+
 // Guards against data races between workers, table changes and reports.
 func TestConcurrentUse(t *testing.T) {
 	f := newFixture(6)
--- a/internal/selection/index.go
+++ b/internal/selection/index.go
@@ -8,6 +8,7 @@
 type index struct {
 	servers map[tables.ServerID]entry
 	pools   map[*tables.Pool]*pool
+	byName  map[string]*pool
 }
 
 // entry is a server record together with its pool.
@@ -20,7 +21,11 @@
 // server without a record is cold from now on, unless it belongs to the first
 // version, where only this process is new.
 func newIndex(previous *index, pools []*tables.Pool, now instant) *index {
-	next := &index{servers: map[tables.ServerID]entry{}, pools: make(map[*tables.Pool]*pool, len(pools))}
+	next := &index{
+		servers: map[tables.ServerID]entry{},
+		pools:   make(map[*tables.Pool]*pool, len(pools)),
+		byName:  make(map[string]*pool, len(pools)),
+	}
 	first := previous == nil || len(previous.pools) == 0
 	for _, t := range pools {
 		p := &pool{table: t, servers: make([]*server, len(t.Servers)), tunedAt: now}
@@ -37,6 +42,17 @@
 			next.servers[id] = entry{server: rec, pool: p}
 		}
 		next.pools[t] = p
+		next.byName[t.Name] = p
 	}
 	return next
 }
+
+// inherit takes over what was measured of the pools of the previous index. The
+// caller holds the Chooser's lock.
+func (x *index) inherit(previous *index) {
+	for name, p := range x.byName {
+		if old, ok := previous.byName[name]; ok {
+			p.opened, p.utilisation, p.tunedAt = old.opened, old.utilisation, old.tunedAt
+		}
+	}
+}
