--- /dev/null
+++ b/internal/peer/fuzz_test.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"knapweedshore.example/internal/member"
+	"knapweedshore.example/peerapi"
+)
+
+// FuzzLinkMessage guards against bytes of a peer that crash a daemon or pass
+// as a record outside the limits.
+func FuzzLinkMessage(f *testing.F) {
+	record := &peerapi.MemberRecord{
+		Name: "vm-1", Region: testRegion, Zone: "z1", ControlAddress: "10.0.0.1:1", DataAddress: "[::1]:2",
+		Capacity: 1, Incarnation: 1,
+	}
+	for _, m := range []*peerapi.LinkMessage{
+		{Kind: &peerapi.LinkMessage_Hello{Hello: &peerapi.Hello{Self: record}}},
+		{Kind: &peerapi.LinkMessage_Members{Members: &peerapi.MemberUpdate{Records: []*peerapi.MemberRecord{record, nil}}}},
+		{Kind: &peerapi.LinkMessage_Tables{Tables: &peerapi.TablesUpdate{Version: 1, Delta: []byte("{}")}}},
+		{Kind: &peerapi.LinkMessage_Heartbeat{Heartbeat: &peerapi.Heartbeat{TablesAgeMs: 1 << 63}}},
+	} {
+		data, err := proto.Marshal(m)
+		check(f, err)
+		f.Add(data)
+	}
+	id := Identity{Name: "vm-1", Region: testRegion}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := new(peerapi.LinkMessage)
+		if proto.Unmarshal(data, m) != nil {
+			return
+		}
+		if h, err := checkHello(m, id, testRegion); err == nil && h.self.Name != id.Name {
+			t.Fatalf("hello of %q passed for %q", h.self.Name, id.Name)
+		}
+		valid, malformed := checkRecords(m.GetMembers())
+		if got := len(valid) + malformed; got != len(m.GetMembers().GetRecords()) {
+			t.Fatalf("%d records became %d", len(m.GetMembers().GetRecords()), got)
+		}
+		for _, r := range valid {
+			if again, err := member.FromRecord(r.Record()); err != nil || again != r {
+				t.Fatalf("record %+v came back as %+v: %v", r, again, err)
+			}
+		}
+		if u := m.GetTables(); u != nil && checkTables(u) == nil && (u.GetVersion() == 0 || len(u.GetDelta()) == 0) {
+			t.Fatal("empty table change passed")
+		}
+		if age := durationOf(m.GetHeartbeat().GetTablesAgeMs()); age < 0 || age > maxAge {
+			t.Fatalf("age %v", age)
+		}
+	})
+}
--- a/internal/peer/memnet_test.go
+++ b/internal/peer/memnet_test.go
@@ -158,7 +158,7 @@
 // Close is seen by the peer unless the connection was cut.
 func (c *memConn) Close() error {
 	c.in.change(func() { c.in.closed = true })
-	c.out.change(func() { c.out.closed = !c.out.silent })
+	c.out.change(func() { c.out.closed = c.out.closed || !c.out.silent })
 	return nil
 }
 
