Make the test of new versions able to fail

With equal loads the least loaded server was the default even without the pool's utilisation. The loads now differ, and the test fails without the fix it guards.

--- a/internal/selection/chooser_test.go
+++ b/internal/selection/chooser_test.go
@@ -292,8 +292,12 @@
 func TestNewVersionKeepsFlowsOnTheirDefault(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(4)
-	for _, s := range f.pool.Servers {
-		f.Opened(s.ID, start)
+	// Unequal loads within the bounds: beyond the bounds the least loaded
+	// servers would be used.
+	for i, s := range f.pool.Servers {
+		for range 10 + i%2 {
+			f.Opened(s.ID, start)
+		}
 	}
 	now := start.Add(time.Minute)
 	_, err := f.Choose(f.request(now)) // measures the utilisations
