Test errors about requests, IPv4 options and padding

Cause: RewriteICMPErrorDestination had no test, and no test parsed a packet with options or padding. Change: compare the rewritten error with one built anew for both IP versions and protocols; parse a padded datagram with IPv4 options.

--- a/internal/packet/packet_test.go
+++ b/internal/packet/packet_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"testing"
 
+	"github.com/gopacket/gopacket"
 	"github.com/gopacket/gopacket/layers"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -81,6 +82,44 @@
 	})
 }
 
+// Guards against an error about a request whose embedded packet the caller does
+// not recognise as its own.
+func TestRewriteICMPErrorDestinationEqualsErrorBuiltAnew(t *testing.T) {
+	routers := []netip.Addr{router4, router6}
+	for i, a := range addressSets {
+		for _, p := range []tables.Protocol{tables.TCP, tables.UDP} {
+			is := is.New(t)
+			request := func(to netip.AddrPort) []byte {
+				return build(t, spec{p: p, src: a[0], dst: to, flags: FlagACK, payload: []byte("request")})
+			}
+			b := buildError(t, routers[i], a[0].Addr(), request(a[2]))
+			info := parsed(t, b)
+			RewriteICMPErrorDestination(b, &info, a[1])
+			is.Equal(b, buildError(t, routers[i], a[0].Addr(), request(a[1])))
+			is.Equal(info, parsed(t, b))
+		}
+	}
+}
+
+// Guards against IPv4 options or padding being taken for a part of the payload,
+// and against answers to them that embed the padding.
+func TestOptionsAndPadding(t *testing.T) {
+	is := is.New(t)
+	ip := ipLayer(caller4.Addr(), service4.Addr(), layers.IPProtocolUDP).(*layers.IPv4)
+	ip.Options = []layers.IPv4Option{{OptionType: 1}, {OptionType: 1}, {OptionType: 1}, {OptionType: 0}}
+	udp := &layers.UDP{SrcPort: 40001, DstPort: 443}
+	is.NoErr(udp.SetNetworkLayerForChecksum(ip))
+	sent := serialize(t, ip, udp, gopacket.Payload("abc"))
+	b := append(sent, 0, 0, 0, 0, 0)
+	info := parsed(t, b)
+	is.Equal([]any{info.Src, info.Dst}, []any{caller4, service4})
+	is.Equal([]int{info.PayloadLen, info.Length}, []int{3, len(sent)})
+	RewriteDestination(b, &info, server4)
+	decoded(t, b[:info.Length])
+	answer := AppendPortUnreachable(nil, b, &info)
+	is.Equal(len(answer), ipv4HeaderLen+icmpHeaderLen+len(sent))
+}
+
 // Guards against a UDP checksum that changes between "none" and a value.
 func TestUDPChecksumZero(t *testing.T) {
 	is := is.New(t)
