Take back busy time of flows that ended earlier

The end of a UDP flow is only noticed after it was idle for 2 s, and that idle time hid how busy the servers were.

--- a/internal/selection/bench_test.go
+++ b/internal/selection/bench_test.go
@@ -63,6 +63,8 @@
 		}},
 		{"mostly_long", func(m *model) { m.longPart, m.long = 0.3, 3*time.Second }},
 		{"short_only", func(m *model) { m.longPart, m.short, m.windows = 0, 5*time.Millisecond, 3 }},
+		// UDP flows have no visible end: they count until they were idle for 2 s.
+		{"late_end", func(m *model) { m.closeLag = 2 * time.Second }},
 		{"load_0.3", func(m *model) { m.load = 0.3 }},
 		{"load_0.8", func(m *model) { m.load = 0.8 }},
 	}
--- a/internal/selection/chooser.go
+++ b/internal/selection/chooser.go
@@ -111,11 +111,11 @@
 }
 
 // Closed implements Policy.
-func (c *Chooser) Closed(id tables.ServerID, _, now time.Time) {
+func (c *Chooser) Closed(id tables.ServerID, _, ended time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if e, ok := c.index.servers[id]; ok {
-		e.server.close(c.at(now))
+		e.server.close(c.at(ended))
 	}
 }
 
--- a/internal/selection/chooser_test.go
+++ b/internal/selection/chooser_test.go
@@ -270,6 +270,19 @@
 	is.Equal(f.index.servers[f.pool.Servers[0].ID].server.flows, 0)
 }
 
+// Guards against idle time that counts as busy time because the end of a flow
+// was noticed late.
+func TestLateEndTakesBusyTimeBack(t *testing.T) {
+	is := is.New(t)
+	rec := newServer(0, true)
+	rec.open(0)
+	rec.settle(instant(2 * time.Second))
+	is.True(rec.busy > 0.15)
+	rec.close(instant(100 * time.Millisecond))
+	is.True(rec.busy < 0.011) // 0.1 s of 10 s
+	is.Equal(rec.flows, 0)
+}
+
 // Guards against a lost observation when a version changes something else.
 func TestApplyKeepsRecords(t *testing.T) {
 	is := is.New(t)
--- a/internal/selection/model_test.go
+++ b/internal/selection/model_test.go
@@ -25,6 +25,7 @@
 	long      time.Duration
 	longPart  float64
 	firstWork time.Duration // work before the first response of a long flow
+	closeLag  time.Duration // from the end of a flow to the report of its end
 	warmUp    time.Duration
 	window    time.Duration // one measured stretch
 	windows   int
@@ -199,8 +200,9 @@
 	}
 	id := s.pool.Servers[f.server].ID
 	s.schedule(now.Add(first), func(at time.Time) { s.policies[f.owner].Answered(id, at.Sub(f.opened), at) })
-	s.schedule(now.Add(took), func(at time.Time) {
-		s.policies[f.owner].Closed(id, f.opened, at)
+	end := now.Add(took)
+	s.schedule(end.Add(s.closeLag), func(time.Time) { s.policies[f.owner].Closed(id, f.opened, end) })
+	s.schedule(end, func(at time.Time) {
 		server.working--
 		s.serve(server, at)
 	})
--- a/internal/selection/policy.go
+++ b/internal/selection/policy.go
@@ -33,8 +33,9 @@
 	Choose(r Request) (Choice, error)
 	// Opened reports a flow that now uses the server.
 	Opened(id tables.ServerID, now time.Time)
-	// Closed reports the end of a flow that was reported to Opened.
-	Closed(id tables.ServerID, opened, now time.Time)
+	// Closed reports the end of a flow that was reported to Opened. The end may
+	// have passed a while ago.
+	Closed(id tables.ServerID, opened, ended time.Time)
 	// Answered reports the delay of the first response of a flow.
 	Answered(id tables.ServerID, delay time.Duration, now time.Time)
 	// Failed reports a flow that the server did not accept.
--- a/internal/selection/server.go
+++ b/internal/selection/server.go
@@ -50,10 +50,16 @@
 	r.flows++
 }
 
-// close ignores a flow that was opened before the server was forgotten.
-func (r *server) close(now instant) {
-	r.settle(now)
-	r.flows = max(0, r.flows-1)
+// close ends a flow at an instant that may have passed, because the end of an
+// idle flow is noticed late: what was counted since then is taken back. It
+// ignores a flow that was opened before the server was forgotten.
+func (r *server) close(ended instant) {
+	r.settle(ended)
+	if r.flows == 0 {
+		return
+	}
+	r.flows--
+	r.busy -= float64(r.busyAt-ended) / float64(BusyDecay)
 }
 
 // settle brings busy up to now.
