Add the stand-in site with its workload and judge

A site assembles callers, fabric, daemons and backend servers from a description, for a small site and both reference deployments, and runs a workload in which a server drains, a balancer leaves, one joins and one is killed. Its summary counts how flows ended and lists broken promises. The tests show that a correct but drain-ignoring fake balancer yields exactly the drain violation, and that daemons at rest break nothing. The ledger also accepts ICMP errors that callers send to the servers of their flows.

--- a/standin/backend/content.go
+++ b/standin/backend/content.go
@@ -10,8 +10,8 @@
 // Sum is a SHA-256.
 type Sum = [sha256.Size]byte
 
-// chunkSize is how much of a file a server prepares at once.
-const chunkSize = 64 << 10
+// ChunkSize is how much of a file a server prepares at once.
+const ChunkSize = 64 << 10
 
 // NewContent returns the endless pseudo-random content of the file that a
 // seed names.
--- a/standin/backend/executions.go
+++ b/standin/backend/executions.go
@@ -32,7 +32,8 @@
 	return ids
 }
 
-func (e *Executions) add(id string) {
+// Add notes one execution.
+func (e *Executions) Add(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.count[id]++
--- a/standin/caller/tcp.go
+++ b/standin/caller/tcp.go
@@ -77,6 +77,8 @@
 	case Reset:
 		f.conn.Reset()
 		return nil
+	case Pause:
+		return pause(ctx, s.Pause)
 	}
 	return errors.Errorf("unknown action %d", s.Action)
 }
--- a/standin/fabric/observe.go
+++ b/standin/fabric/observe.go
@@ -131,6 +131,12 @@
 	if u == nil || u.Src.Addr() != p.Dst.Addr() {
 		return
 	}
+	if pool, toServer := l.servers[u.Src]; toServer {
+		if !l.reached(u.Protocol, u.Dst, u.Src, pool) {
+			l.violate(WrongService, FlowKey{u.Protocol, u.Dst, u.Src}, "ICMP error at a server that the flow never reached")
+		}
+		return
+	}
 	key := FlowKey{u.Protocol, u.Src, u.Dst}
 	flow, known := l.flows[key]
 	switch {
@@ -141,6 +147,20 @@
 	}
 }
 
+// reached reports whether a flow of the caller has reached the server through
+// a service of its pool.
+func (l *Ledger) reached(protocol inet.Protocol, caller, server netip.AddrPort, pool string) bool {
+	for service, p := range l.services {
+		if service.protocol != protocol || p != pool {
+			continue
+		}
+		if flow, ok := l.flows[FlowKey{protocol, caller, service.at}]; ok && flow.servers[server] != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // refused checks a refusal that a balancer made. Once the caller has received
 // a response, it is the end of an open flow and no refusal.
 func (l *Ledger) refused(key FlowKey, flow *flowRecord) {
--- /dev/null
+++ b/standin/site/changes.go
@@ -0,0 +1,159 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+
+	"knapweedshore.example/peerapi"
+)
+
+// fate is what became of a balancer.
+type fate string
+
+const (
+	running fate = "running"
+	leaving fate = "leaving"
+	left    fate = "left"
+	killed  fate = "killed"
+	joined  fate = "joined"
+)
+
+// lifetime is one balancer from its start to its end. last is its status when
+// it ended.
+type lifetime struct {
+	vm       VM
+	balancer Balancer
+	fate     fate
+	last     *peerapi.StatusResponse
+}
+
+// changeTimes are when the changes of a run happened.
+type changeTimes struct {
+	drained, leaveBegan, leaveEnded, joined, killed time.Time
+	drainedServer, drainedPool                      string
+	leaveErr                                        error
+}
+
+// Parts of the duration after which the changes come. The crash is last, so
+// that all flows that break before it are broken by a planned change.
+const (
+	drainAfter = 0.2
+	leaveAfter = 0.35
+	joinAfter  = 0.5
+	killAfter  = 0.7
+)
+
+// change carries out the planned changes and the crash.
+func (r *run) change(ctx context.Context) error {
+	if r.config.Still {
+		return nil
+	}
+	var leave conc.WaitGroup
+	defer leave.Wait()
+	for _, c := range []struct {
+		after float64
+		do    func(ctx context.Context) error
+	}{
+		{drainAfter, r.drain},
+		{leaveAfter, func(ctx context.Context) error { leave.Go(func() { r.leave(ctx) }); return nil }},
+		{joinAfter, r.join},
+		{killAfter, r.kill},
+	} {
+		at := r.started.Add(time.Duration(float64(r.config.Duration) * c.after))
+		if !sleepUntil(ctx, at) {
+			return nil
+		}
+		if err := c.do(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) drain(ctx context.Context) error {
+	service := r.config.Site.Services[int(r.config.Seed)%len(r.config.Site.Services)]
+	name := service.Servers[0].Name
+	server, err := r.world.server(service.Name, name)
+	if err != nil {
+		return err
+	}
+	if err := r.platform.Drain(ctx, service.Name, name); err != nil {
+		return errors.Wrap(err, "drain server")
+	}
+	server.Drain()
+	r.note(func(c *changeTimes) { c.drained, c.drainedPool, c.drainedServer = time.Now(), service.Name, name })
+	r.say("server %q of pool %q drains", name, service.Name)
+	return nil
+}
+
+// leave lets the first balancer leave. The fabric hears of it late.
+func (r *run) leave(ctx context.Context) {
+	m := r.member(0)
+	r.note(func(c *changeTimes) { c.leaveBegan = time.Now() })
+	r.setFate(m, leaving)
+	r.say("balancer %q leaves", m.vm.Name)
+	stop := time.AfterFunc(fabricLag, func() { r.world.fabric.RemoveBalancer(m.balancer.DataAddress()) })
+	err := m.balancer.Leave(ctx)
+	if stop.Stop() {
+		r.world.fabric.RemoveBalancer(m.balancer.DataAddress())
+	}
+	r.note(func(c *changeTimes) { c.leaveEnded, c.leaveErr = time.Now(), err })
+	if err != nil {
+		r.say("balancer %q did not leave in order: %v", m.vm.Name, err)
+		return
+	}
+	r.setFate(m, left)
+	r.say("balancer %q has left", m.vm.Name)
+}
+
+func (r *run) join(ctx context.Context) error {
+	first := r.config.Site.VMs[0]
+	vm := VM{Name: first.Name + "-new", Zone: first.Zone, Capacity: first.Capacity}
+	m, err := r.startBalancer(ctx, vm)
+	if err != nil {
+		return errors.Wrap(err, "join")
+	}
+	// The balancer that leaves may count or not.
+	if err := waitReady(ctx, vm.Name, m.balancer, len(r.config.Site.VMs)); err != nil {
+		return errors.Wrap(err, "join")
+	}
+	r.setFate(m, joined)
+	r.world.fabric.AddBalancer(m.balancer.DataAddress(), vm.Zone)
+	r.note(func(c *changeTimes) { c.joined = time.Now() })
+	r.say("balancer %q has joined", vm.Name)
+	return nil
+}
+
+// kill crashes the second balancer. The fabric notices it late.
+func (r *run) kill(ctx context.Context) error {
+	m := r.member(1)
+	r.setFate(m, killed)
+	r.note(func(c *changeTimes) { c.killed = time.Now() })
+	m.balancer.Kill()
+	r.say("balancer %q was killed", m.vm.Name)
+	sleepUntil(ctx, time.Now().Add(fabricLag))
+	r.world.fabric.RemoveBalancer(m.balancer.DataAddress())
+	return nil
+}
+
+func (r *run) member(i int) *lifetime {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.members[i]
+}
+
+func (r *run) note(f func(c *changeTimes)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.changes)
+}
+
+func (r *run) setFate(m *lifetime, f fate) {
+	status := m.balancer.Status()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m.fate, m.last = f, status
+}
--- /dev/null
+++ b/standin/site/daemons.go
@@ -0,0 +1,216 @@
+package site
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"knapweedshore.example/internal/balancer"
+	"knapweedshore.example/internal/member"
+	"knapweedshore.example/internal/peer"
+	"knapweedshore.example/internal/settings"
+	"knapweedshore.example/internal/store"
+	"knapweedshore.example/internal/tables"
+	standinstore "knapweedshore.example/standin/store"
+)
+
+const (
+	// leavePeriod replaces the daemon's default of 30 s, so that a run sees
+	// the end of it. It is longer than fabricLag.
+	leavePeriod = 4 * time.Second
+	// vmLag delays the platform's list of VMs.
+	vmLag = time.Second
+
+	maxFlows       = 100_000
+	newFlowRate    = 10_000
+	exceptionBytes = 2048
+)
+
+var anyLoopbackPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// Daemons is the Platform that runs knapweedshore's own daemons in this
+// process, with the stand-in store.
+type Daemons struct {
+	region    string
+	log       *zap.Logger
+	store     *standinstore.Platform
+	authority *peer.Authority
+	workers   conc.WaitGroup
+
+	mu      sync.Mutex
+	running []*daemon
+	failed  error
+}
+
+// NewDaemons returns the platform of a region without any daemon.
+func NewDaemons(region string, log *zap.Logger) (*Daemons, error) {
+	authority, err := peer.NewAuthority()
+	if err != nil {
+		return nil, errors.Wrap(err, "make keys")
+	}
+	return &Daemons{
+		region: region, log: log, authority: authority,
+		store: standinstore.New(standinstore.Options{VMLag: vmLag}),
+	}, nil
+}
+
+// Store returns the stand-in store, for its fault switches.
+func (d *Daemons) Store() *standinstore.Platform { return d.store }
+
+// Install implements Platform.
+func (d *Daemons) Install(ctx context.Context, desired tables.Desired) error {
+	return d.edit(ctx, tables.Diff(tables.Empty(), desired))
+}
+
+// Drain implements Platform.
+func (d *Daemons) Drain(ctx context.Context, pool, server string) error {
+	current, _, err := d.head(ctx)
+	if err != nil {
+		return err
+	}
+	snapshot, err := current.Replay(tables.Empty(), current.Version)
+	if err != nil {
+		return errors.Wrap(err, "read tables")
+	}
+	p, ok := snapshot.Pool(pool)
+	if !ok {
+		return errors.Errorf("drain server: no pool %q", pool)
+	}
+	for _, s := range p.Servers {
+		if s.Name == server {
+			s.State = tables.Draining
+			return d.edit(ctx, []tables.Operation{tables.PutServer{Pool: pool, Server: s}})
+		}
+	}
+	return errors.Errorf("drain server: no server %q in pool %q", server, pool)
+}
+
+func (d *Daemons) head(ctx context.Context) (*tables.Head, uint64, error) {
+	value, err := d.store.Memory().Get(ctx, tables.HeadKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return &tables.Head{}, 0, nil
+	}
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "read head")
+	}
+	head, err := tables.DecodeHead(value.Data)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "decode head")
+	}
+	return head, value.Revision, nil
+}
+
+// edit makes one version. A run has one operator, so no conflict can occur.
+func (d *Daemons) edit(ctx context.Context, ops []tables.Operation) error {
+	head, revision, err := d.head(ctx)
+	if err != nil {
+		return err
+	}
+	next, err := head.Append(tables.Delta{
+		Version: head.Version + 1, WriteID: tables.NewWriteID(), Author: "site", Time: time.Now(), Operations: ops,
+	})
+	if err != nil {
+		return errors.Wrap(err, "append change")
+	}
+	if _, err := d.store.Memory().Swap(ctx, tables.HeadKey, next.Encode(), revision); err != nil {
+		return errors.Wrap(err, "write head")
+	}
+	return nil
+}
+
+// daemon is a running balancer.
+type daemon struct {
+	*balancer.Balancer
+	name  string
+	store *standinstore.Platform
+}
+
+// StartBalancer implements Platform.
+func (d *Daemons) StartBalancer(_ context.Context, vm VM, fabric netip.AddrPort) (Balancer, error) {
+	credentials, err := d.authority.Issue(member.Name(vm.Name), d.region)
+	if err != nil {
+		return nil, errors.Wrapf(err, "issue keys for %q", vm.Name)
+	}
+	b, err := balancer.New(balancer.Options{
+		Settings: d.settings(vm, fabric), Store: d.store.Memory(), Logger: d.log,
+		Credentials: credentials, LeavePeriod: leavePeriod,
+	})
+	if err != nil {
+		return nil, errors.Wrapf(err, "build balancer %q", vm.Name)
+	}
+	running := &daemon{Balancer: b, name: vm.Name, store: d.store}
+	d.workers.Go(func() { d.run(running) })
+	d.mu.Lock()
+	d.running = append(d.running, running)
+	d.mu.Unlock()
+	d.store.AddVM(store.VM{
+		Name: vm.Name, Region: d.region, Zone: vm.Zone, Capacity: vm.Capacity,
+		Control: b.ControlAddress(), Data: b.DataAddress(),
+	})
+	return running, nil
+}
+
+func (d *Daemons) run(b *daemon) {
+	if err := b.Run(context.Background()); err != nil && !errors.Is(err, context.Canceled) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.failed == nil {
+			d.failed = errors.Wrapf(err, "balancer %q", b.name)
+		}
+	}
+}
+
+func (d *Daemons) settings(vm VM, fabric netip.AddrPort) *settings.Settings {
+	s := &settings.Settings{
+		Name: vm.Name, Region: d.region, Zone: vm.Zone, Capacity: vm.Capacity,
+		Data: anyLoopbackPort, Control: anyLoopbackPort, Fabrics: []netip.AddrPort{fabric}, Workers: 1,
+		MaxFlows: maxFlows, NewFlowsPerSecond: newFlowRate, ExceptionBytesPerSecond: exceptionBytes,
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, b := range d.running {
+		s.Seeds = append(s.Seeds, b.ControlAddress())
+	}
+	return s
+}
+
+// Leave ends the daemon gracefully.
+func (b *daemon) Leave(ctx context.Context) error {
+	err := b.Balancer.Leave(ctx)
+	b.store.RemoveVM(b.name)
+	if err != nil {
+		return errors.Wrapf(err, "balancer %q: leave", b.name)
+	}
+	return nil
+}
+
+// Kill ends the daemon as a crash of its VM does.
+func (b *daemon) Kill() {
+	b.Balancer.Kill()
+	b.store.RemoveVM(b.name)
+}
+
+// Close implements Platform.
+func (d *Daemons) Close() {
+	d.mu.Lock()
+	running := d.running
+	d.mu.Unlock()
+	var ends conc.WaitGroup
+	for _, b := range running {
+		ends.Go(b.Kill)
+	}
+	ends.Wait()
+	d.workers.Wait()
+}
+
+// Err returns the first error with which a daemon ended on its own.
+func (d *Daemons) Err() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.failed
+}
--- /dev/null
+++ b/standin/site/judge.go
@@ -0,0 +1,116 @@
+package site
+
+import (
+	"fmt"
+	"time"
+
+	"knapweedshore.example/standin/backend"
+	"knapweedshore.example/standin/caller"
+	"knapweedshore.example/standin/fabric"
+)
+
+// crashEffect is how long after a crash flows may break because of it: the
+// balancers need about 2 s to detect it, and flows some retransmissions.
+const crashEffect = 5 * time.Second
+
+// Kinds of violations that only the site sees.
+const (
+	// BrokenFlow is a flow that broke although no crash explains it.
+	BrokenFlow fabric.Kind = "broken_flow"
+	// BrokenByLeave is such a flow that was open while a balancer left.
+	BrokenByLeave fabric.Kind = "broken_by_leave"
+	// WrongResponse is a response that is not the one to the request.
+	WrongResponse fabric.Kind = "wrong_response"
+	// RefusedButExecuted is a request that was executed although its caller
+	// was told that it was not.
+	RefusedButExecuted fabric.Kind = "refused_but_executed"
+	// RepeatedExecution is a confirmation that was executed more than once.
+	RepeatedExecution fabric.Kind = "repeated_execution"
+	// ConfirmedWithoutExecution is a confirmed request that was not executed.
+	ConfirmedWithoutExecution fabric.Kind = "confirmed_without_execution"
+	// WorkAfterDrain is a new flow on a server long after its drain.
+	WorkAfterDrain fabric.Kind = "work_after_drain"
+)
+
+// judge checks the promises that show in the results of flows and in the
+// servers' records.
+type judge struct {
+	changes    changeTimes
+	executions *backend.Executions
+	violations []fabric.Violation
+}
+
+func (j *judge) violate(p fabric.Promise, k fabric.Kind, flow string, at time.Time, format string, args ...any) {
+	j.violations = append(j.violations, fabric.Violation{
+		Promise: p, Kind: k, Flow: flow, At: at, Detail: fmt.Sprintf(format, args...),
+	})
+}
+
+// flow checks one result.
+func (j *judge) flow(r flowResult) {
+	name := fmt.Sprintf("%s from %s", r.service, r.Caller)
+	switch r.Outcome {
+	case caller.Broken:
+		j.brokenFlow(name, r)
+	case caller.Refused:
+		j.refusedFlow(name, r)
+	}
+	for i := range r.Latencies {
+		request := r.Requests[i]
+		if request.Operation == backend.Confirm && j.executions.Count(request.ID) == 0 {
+			j.violate(fabric.P3, ConfirmedWithoutExecution, name, r.Ended, "confirmation %q", request.ID)
+		}
+	}
+}
+
+func (j *judge) brokenFlow(name string, r flowResult) {
+	switch {
+	case r.Reason == caller.WrongHash || r.Reason == caller.WrongAnswer || r.Reason == caller.LateData:
+		j.violate(fabric.P3, WrongResponse, name, r.Ended, "%v", r.Err)
+	case j.byCrash(r):
+	case !j.changes.leaveBegan.IsZero() && overlaps(r, j.changes.leaveBegan, j.leaveEnd()):
+		j.violate(fabric.P7, BrokenByLeave, name, r.Ended, "%s: %v", r.Reason, r.Err)
+	default:
+		j.violate(fabric.P1, BrokenFlow, name, r.Ended, "%s: %v", r.Reason, r.Err)
+	}
+}
+
+// byCrash reports whether the crash can have broken the flow.
+func (j *judge) byCrash(r flowResult) bool {
+	return !j.changes.killed.IsZero() && overlaps(r, j.changes.killed, j.changes.killed.Add(crashEffect))
+}
+
+func (j *judge) leaveEnd() time.Time {
+	if j.changes.leaveEnded.IsZero() {
+		return time.Now()
+	}
+	return j.changes.leaveEnded
+}
+
+func overlaps(r flowResult, from, to time.Time) bool {
+	return r.Opened.Before(to) && r.Ended.After(from)
+}
+
+// refusedFlow checks that the request whose refusal ended the flow was not
+// executed. Those before it had their responses.
+func (j *judge) refusedFlow(name string, r flowResult) {
+	for _, request := range r.Requests[len(r.Latencies):] {
+		if request.Operation == backend.Confirm && j.executions.Count(request.ID) > 0 {
+			j.violate(fabric.P4, RefusedButExecuted, name, r.Ended, "confirmation %q", request.ID)
+		}
+	}
+}
+
+// servers checks what the servers recorded.
+func (j *judge) servers(stats map[string]map[string]backend.Stats) {
+	for _, id := range j.executions.Repeated() {
+		j.violate(fabric.P5, RepeatedExecution, "", time.Now(), "confirmation %q: %d executions", id, j.executions.Count(id))
+	}
+	for pool, servers := range stats {
+		for name, s := range servers {
+			if s.NewAfterDrain > 0 {
+				j.violate(fabric.P6, WorkAfterDrain, "", time.Now(), "server %q of pool %q: %d new flows", name, pool, s.NewAfterDrain)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/standin/site/reference.go
@@ -0,0 +1,107 @@
+package site
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"knapweedshore.example/internal/tables"
+	"knapweedshore.example/standin/backend"
+)
+
+// Slot times that make a pool of the reference size busy with a few hundred
+// flows a second, which one process can carry together with its callers.
+var (
+	deskCosts = backend.Costs{Check: 40 * time.Millisecond, Confirm: 60 * time.Millisecond, Chunk: 40 * time.Millisecond}
+	fileCosts = backend.Costs{Check: 10 * time.Millisecond, Confirm: 10 * time.Millisecond, Chunk: 30 * time.Millisecond}
+)
+
+// load is the share of a pool's capacity that callers use.
+const load = 0.5
+
+// speeds of backend servers; a pool repeats them. They differ widely, as the
+// users' servers do.
+var speeds = []float64{1, 0.6, 1.5, 1, 2, 0.8, 1.2}
+
+// capacities of entry VMs, which are not all of the same size.
+var capacities = []uint32{100, 100, 50, 200}
+
+// Dev is a small site: 4 balancers of unequal capacity in 2 zones, one service
+// over HTTP/3 and one over TCP.
+func Dev() Description {
+	d := Description{
+		Name: "dev", Region: "dev", Zones: []string{"dev-a", "dev-b"},
+		ZoneLatency: time.Millisecond, CallerLatency: time.Millisecond,
+	}
+	d.addVMs(4)
+	d.addService("maps", tables.UDP, Transfers, 4)
+	d.addService("desk", tables.TCP, Desk, 5)
+	return d
+}
+
+// Quesada is the reference deployment in region cartago.
+func Quesada() Description {
+	d := Description{
+		Name: "quesada", Region: "cartago", Zones: []string{"cartago-norte", "cartago-centro", "cartago-sur"},
+		ZoneLatency: time.Millisecond, CallerLatency: time.Millisecond,
+	}
+	d.addVMs(8)
+	d.addService("despacho", tables.TCP, Desk, 14)
+	d.addService("mapas", tables.UDP, Transfers, 4)
+	return d
+}
+
+// Sullam is the reference deployment in region tn-north.
+func Sullam() Description {
+	d := Description{
+		Name: "sullam", Region: "tn-north", Zones: []string{"tn-north-a", "tn-north-b", "tn-north-c", "tn-north-d"},
+		ZoneLatency: time.Millisecond, CallerLatency: 3 * time.Millisecond,
+	}
+	d.addVMs(8)
+	d.addService("counter-desk", tables.UDP, Desk, 14)
+	d.addService("guide-shelf", tables.TCP, Transfers, 4)
+	return d
+}
+
+// Reference returns the description with this name.
+func Reference(name string) (Description, bool) {
+	for _, d := range []Description{Dev(), Quesada(), Sullam()} {
+		if d.Name == name {
+			return d, true
+		}
+	}
+	return Description{}, false
+}
+
+func (d *Description) addVMs(n int) {
+	for i := range n {
+		d.VMs = append(d.VMs, VM{
+			Name: fmt.Sprintf("%s-vm%d", d.Name, i+1), Zone: d.zone(i), Capacity: capacities[i%len(capacities)],
+		})
+	}
+}
+
+func (d *Description) zone(i int) string { return d.Zones[i%len(d.Zones)] }
+
+func (d *Description) addService(name string, protocol tables.Protocol, use Use, servers int) {
+	index := byte(len(d.Services) + 1)
+	s := Service{
+		Name: name, Protocol: protocol, Use: use, Costs: deskCosts,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{203, 0, 113, index}), 443),
+	}
+	if use == Transfers {
+		s.Costs = fileCosts
+	}
+	total := 0.0
+	for i := range servers {
+		speed := speeds[i%len(speeds)]
+		total += speed
+		s.Servers = append(s.Servers, Server{
+			Name: fmt.Sprintf("%s%02d", name, i+1), Zone: d.zone(i), Speed: speed,
+			Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, index, 0, byte(i + 1)}), 8443),
+		})
+	}
+	slots := total * backend.DefaultSlots
+	s.FlowsPerSecond = load * slots / slotTime(use, s.Costs).Seconds()
+	d.Services = append(d.Services, s)
+}
--- /dev/null
+++ b/standin/site/site_test.go
@@ -0,0 +1,180 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"knapweedshore.example/internal/tables"
+	"knapweedshore.example/peerapi"
+	"knapweedshore.example/standin/backend"
+	"knapweedshore.example/standin/caller"
+	"knapweedshore.example/standin/fabric"
+	"knapweedshore.example/standin/fabric/fabrictest"
+)
+
+// fakePlatform runs balancers without state, which ignore drains.
+type fakePlatform struct {
+	t        *testing.T
+	services []fabrictest.Service
+
+	mu      sync.Mutex
+	members int
+	drained string
+}
+
+type fakeBalancer struct {
+	*fabrictest.Balancer
+	platform *fakePlatform
+}
+
+func (p *fakePlatform) Install(_ context.Context, d tables.Desired) error {
+	for _, r := range d.Routes {
+		s := fabrictest.Service{Address: r.Address.AddrPort}
+		for _, pool := range d.Pools {
+			if pool.Name != r.Pool {
+				continue
+			}
+			for _, server := range pool.Servers {
+				s.Servers = append(s.Servers, server.Endpoint)
+			}
+		}
+		p.services = append(p.services, s)
+	}
+	return nil
+}
+
+func (p *fakePlatform) Drain(_ context.Context, pool, server string) error {
+	p.drained = pool + "/" + server
+	return nil
+}
+
+func (p *fakePlatform) StartBalancer(_ context.Context, _ VM, fabric netip.AddrPort) (Balancer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.members++
+	return &fakeBalancer{fabrictest.Start(p.t, fabric, p.services, nil), p}, nil
+}
+
+func (p *fakePlatform) Close() {}
+
+// Leave goes on for longer than the fabric sends packets.
+func (b *fakeBalancer) Leave(ctx context.Context) error {
+	sleepUntil(ctx, time.Now().Add(2*fabricLag))
+	b.Stop()
+	return nil
+}
+
+func (b *fakeBalancer) Kill() { b.Stop() }
+
+func (b *fakeBalancer) DataAddress() netip.AddrPort { return b.Addr() }
+
+func (b *fakeBalancer) Status() *peerapi.StatusResponse {
+	b.platform.mu.Lock()
+	defer b.platform.mu.Unlock()
+	s := &peerapi.StatusResponse{TablesVersion: 1, Standing: true, UptimeMs: 1000, ControlBytesSent: 500}
+	for range b.platform.members {
+		s.Members = append(s.Members, &peerapi.MemberRecord{})
+	}
+	return s
+}
+
+// calm is the dev site with a load that a busy machine carries too.
+func calm() Description {
+	d := Dev()
+	for i := range d.Services {
+		d.Services[i].FlowsPerSecond /= 4
+	}
+	return d
+}
+
+// Guards against a site that reports faults of its own as broken promises, and
+// against a drain that goes unchecked: the balancers here ignore it, and every
+// other promise holds because their choices never change.
+func TestRunReportsExactlyTheIgnoredDrain(t *testing.T) {
+	is := is.New(t)
+	platform := &fakePlatform{t: t}
+	s, err := Run(t.Context(), Config{Site: calm(), Seed: 1, Duration: 7 * time.Second, Platform: platform}, func(line string) { t.Log(line) })
+	is.NoErr(err)
+	t.Log(s)
+	is.True(s.Flows.Opened > 50)
+	is.Equal(s.Flows.Completed, s.Flows.Opened)
+	is.Equal(platform.drained, "desk/desk01")
+	is.Equal(s.ViolationCount, 1)
+	is.Equal(s.Violations[0].Kind, WorkAfterDrain)
+	is.Equal(s.Packets.SecondHop, int64(0))
+	is.Equal(s.Balancers[0].Fate, "left")
+	is.Equal(s.Balancers[0].ControlBytesPerSec, 500.0)
+	is.Equal(s.Balancers[1].Fate, "killed")
+	for _, p := range s.Pools {
+		is.True(p.Imbalance > 1)
+	}
+
+	var b bytes.Buffer
+	is.NoErr(s.WriteJSON(&b))
+	var decoded Summary
+	is.NoErr(json.Unmarshal(b.Bytes(), &decoded))
+	is.Equal(decoded.Flows.Opened, s.Flows.Opened)
+	is.True(strings.Contains(s.String(), "work_after_drain"))
+}
+
+// Guards against glue that starts the daemons wrongly: a site at rest breaks
+// no flow and no promise.
+func TestDaemonsAtRest(t *testing.T) {
+	is := is.New(t)
+	s, err := Run(t.Context(), Config{Site: calm(), Seed: 2, Duration: 3 * time.Second, Still: true}, func(line string) { t.Log(line) })
+	is.NoErr(err)
+	t.Log(s)
+	is.Equal(s.Flows.Completed, s.Flows.Opened)
+	is.Equal(s.ViolationCount, 0)
+	is.True(s.Packets.SecondHop > 0)
+	for _, b := range s.Balancers {
+		is.True(b.ControlBytesPerSec > 0)
+	}
+}
+
+// Guards against results that are blamed on the wrong change, or on none.
+func TestJudgeFindsTheBrokenPromise(t *testing.T) {
+	start := time.Now()
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	changes := changeTimes{leaveBegan: at(10), leaveEnded: at(20), killed: at(30)}
+	confirm := []backend.Request{{Operation: backend.Confirm, ID: "c"}}
+	answered := []time.Duration{time.Millisecond}
+	for name, c := range map[string]struct {
+		result     caller.Result
+		executions int
+		want       fabric.Kind
+	}{
+		"completed":              {caller.Result{Outcome: caller.Completed, Requests: confirm, Latencies: answered}, 1, ""},
+		"broken at rest":         {caller.Result{Outcome: caller.Broken, Opened: at(1), Ended: at(2)}, 0, BrokenFlow},
+		"broken during leave":    {caller.Result{Outcome: caller.Broken, Opened: at(9), Ended: at(12)}, 0, BrokenByLeave},
+		"broken by crash":        {caller.Result{Outcome: caller.Broken, Opened: at(25), Ended: at(31)}, 0, ""},
+		"broken long after":      {caller.Result{Outcome: caller.Broken, Opened: at(36), Ended: at(40)}, 0, BrokenFlow},
+		"wrong despite crash":    {caller.Result{Outcome: caller.Broken, Reason: caller.WrongHash, Opened: at(25), Ended: at(31)}, 0, WrongResponse},
+		"refused":                {caller.Result{Outcome: caller.Refused, Requests: confirm}, 0, ""},
+		"refused and executed":   {caller.Result{Outcome: caller.Refused, Requests: confirm}, 1, RefusedButExecuted},
+		"confirmed not executed": {caller.Result{Outcome: caller.Completed, Requests: confirm, Latencies: answered}, 0, ConfirmedWithoutExecution},
+		"executed twice":         {caller.Result{Outcome: caller.Completed, Requests: confirm, Latencies: answered}, 2, RepeatedExecution},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j := &judge{changes: changes, executions: backend.NewExecutions()}
+			for range c.executions {
+				j.executions.Add("c")
+			}
+			j.flow(flowResult{service: "desk", Result: c.result})
+			j.servers(nil)
+			var got fabric.Kind
+			for _, v := range j.violations {
+				got += v.Kind
+			}
+			is.New(t).Equal(got, c.want)
+		})
+	}
+}
