Bound open flows by weights as well as by slots

Idle flows count as open until they are noticed, and bounding them for each slot worked against the learned corrections. The bound is now the server's part of the slots or of the corrected weights, whichever is higher.

--- a/internal/selection/chooser.go
+++ b/internal/selection/chooser.go
@@ -9,8 +9,8 @@
 
 // Bounds beyond which new flows pass on to the next server of their order.
 const (
-	// BoundFactor is how far the open flows for each slot of a server may
-	// exceed the mean of its pool; one flow is added to the bound.
+	// BoundFactor is how far the open flows of a server may exceed its part of
+	// all open flows of its pool; one flow is added to the bound.
 	BoundFactor = 1.05
 	// BusyBoundFactor is how far the decaying busy time for each slot of a
 	// server may exceed the mean of its pool. In the queueing model 49% of flows
--- a/internal/selection/server.go
+++ b/internal/selection/server.go
@@ -87,3 +87,8 @@
 }
 
 func slotsOf(s *tables.Server) float64 { return float64(max(1, s.Slots)) }
+
+// weight returns the operator's weight with what was learned and the slow start.
+func (r *server) weight(s *tables.Server, now instant) float64 {
+	return float64(s.Weight) * r.correction * r.warmth(now)
+}
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -13,9 +13,10 @@
 	share   float64
 	pool    *pool
 
-	// usable and full count servers; flows and capacity sum the usable ones.
-	usable, full    int
-	flows, capacity float64
+	// usable and full count servers; flows, capacity and weight sum the usable
+	// ones.
+	usable, full            int
+	flows, capacity, weight float64
 }
 
 // status tells whether a server takes a new flow.
@@ -52,6 +53,7 @@
 			w.usable++
 			w.flows += float64(rec.flows)
 			w.capacity += rec.capacity(s, w.now)
+			w.weight += rec.weight(s, w.now)
 		case full:
 			w.full++
 		}
@@ -65,7 +67,6 @@
 	var fallback, best, least candidate
 	fallbackUsable := false
 	least.load = math.Inf(1)
-	bound := (BoundFactor*w.flows + float64(w.usable)) / w.capacity
 	for i, rec := range w.pool.servers {
 		s := &w.pool.table.Servers[i]
 		if s.State != tables.Active {
@@ -85,7 +86,7 @@
 		if load < least.load || load == least.load && least.precededBy(s, score) {
 			least = candidate{s, score, load}
 		}
-		if load <= bound && w.withinBusyBound(rec) && best.precededBy(s, score) {
+		if best.precededBy(s, score) && w.withinBounds(s, rec) {
 			best = candidate{s, score, load}
 		}
 	}
@@ -98,7 +99,14 @@
 	return Choice{Server: best.server, Default: best.server == fallback.server}
 }
 
-func (w *walk) withinBusyBound(rec *server) bool {
+// withinBounds bounds the open flows and the busy time. The bound of open flows
+// is the server's part of the slots or of the corrected weights, whichever is
+// higher: working flows follow the slots, idle ones follow the weights.
+func (w *walk) withinBounds(s *tables.Server, rec *server) bool {
+	part := max(rec.capacity(s, w.now)/w.capacity, rec.weight(s, w.now)/w.weight)
+	if float64(rec.flows) > part*(BoundFactor*w.flows+float64(w.usable)) {
+		return false
+	}
 	return rec.utilisation <= BusyBoundFactor*w.pool.utilisation*rec.warmth(w.now)
 }
 
