Add the operators' command

Operators list, show, set, delete and drain entries, apply a whole INI file with a dry run, read the history and see the state of the daemons. Exit codes tell apart invalid tables, a conflict, an unavailable store and an unknown outcome, so that scripts know whether anything was written.

--- /dev/null
+++ b/cmd/knapweedshorectl/exit.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/go-faster/errors"
+
+	"knapweedshore.example/internal/edit"
+	"knapweedshore.example/internal/store"
+	"knapweedshore.example/internal/tables"
+)
+
+// Exit codes, documented in the help of the root command.
+const (
+	exitOK             = 0
+	exitFailure        = 1
+	exitUsage          = 2
+	exitInvalidTables  = 3
+	exitConflict       = 4
+	exitUnavailable    = 5
+	exitOutcomeUnknown = 6
+)
+
+// usageError is a command line that makes no sense.
+type usageError struct{ text string }
+
+func (e *usageError) Error() string { return e.text }
+
+func usageErrorf(format string, args ...any) error {
+	return &usageError{text: fmt.Sprintf(format, args...)}
+}
+
+// exitCode returns the exit code of an error. The order matters: an unknown
+// outcome is caused by an unavailable store.
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return exitOK
+	case isA[*usageError](err):
+		return exitUsage
+	case isA[*edit.OutcomeUnknownError](err):
+		return exitOutcomeUnknown
+	case isA[*edit.ConflictError](err), errors.Is(err, edit.ErrBusy):
+		return exitConflict
+	case isA[*tables.InvalidError](err), isA[*tables.INIError](err):
+		return exitInvalidTables
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrThrottled),
+		errors.Is(err, context.DeadlineExceeded):
+		return exitUnavailable
+	}
+	return exitFailure
+}
+
+func isA[T error](err error) bool {
+	_, ok := errors.Into[T](err)
+	return ok
+}
+
+// missing is the error of a command for an entry that does not exist.
+func missing(e tables.Entry) error {
+	return &tables.InvalidError{Problems: []*tables.ValidationError{
+		{Entry: e, Rule: tables.RuleEntryMissing, Detail: "does not exist"},
+	}}
+}
--- a/cmd/knapweedshorectl/main.go
+++ b/cmd/knapweedshorectl/main.go
@@ -1,4 +1,17 @@
-// Command knapweedshorectl is the operators' command.
+// Command knapweedshorectl is the operators' command: it edits the tables of
+// routes and pools in the platform store, and shows the state of the daemons.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/cmd/knapweedshorectl/status.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc/iter"
+	"github.com/urfave/cli/v3"
+
+	"knapweedshore.example/internal/peer"
+	"knapweedshore.example/peerapi"
+)
+
+// Limits of the calls to daemons.
+const (
+	maxConcurrentCalls = 64
+	// oldTables is the age from which tables are shown as old: watchers confirm
+	// the version every few seconds.
+	oldTables = 30 * time.Second
+)
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show the state of the daemons and the imbalance of the pools",
+		Description: `Asks the VMs of the store's list, or the daemons that are given. Fails if a
+daemon does not answer.
+
+IMBALANCE is the maximum over the mean of the servers' utilisation, for each
+unit of weight, summed over the daemons that answered. Servers that every
+daemon has ejected are left out.
+
+Examples:
+  knapweedshorectl status --ca ca.pem --cert operator.pem --key operator.key
+  knapweedshorectl status --daemon 192.0.2.21:7400 --daemon 192.0.2.22:7400`,
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "daemon", Usage: "control `ADDR:PORT` of a daemon, instead of the store's list"},
+			&cli.StringFlag{Name: "ca", Usage: "private CA, PEM `FILE`", Sources: cli.EnvVars("KNAPWEEDSHORE_CA"), Required: true},
+			&cli.StringFlag{Name: "cert", Usage: "own certificate, PEM `FILE`", Sources: cli.EnvVars("KNAPWEEDSHORE_CERT"), Required: true},
+			&cli.StringFlag{Name: "key", Usage: "own key, PEM `FILE`", Sources: cli.EnvVars("KNAPWEEDSHORE_KEY"), Required: true},
+		},
+		Action: withTimeout(status),
+	}
+}
+
+func status(ctx context.Context, cmd *cli.Command) error {
+	if _, err := arguments(cmd, 0, 0); err != nil {
+		return err
+	}
+	credentials, err := peer.LoadCredentials(cmd.String("ca"), cmd.String("cert"), cmd.String("key"))
+	if err != nil {
+		return err
+	}
+	targets, err := statusTargets(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	mapper := iter.Mapper[target, answer]{MaxGoroutines: maxConcurrentCalls}
+	answers := mapper.Map(targets, func(t *target) answer {
+		s, err := peer.FetchStatus(ctx, credentials, t.address)
+		return answer{target: *t, status: s, err: err}
+	})
+	report := newStatusReport(answers)
+	if err := report.print(cmd); err != nil {
+		return err
+	}
+	if n := report.silent(); n > 0 {
+		return errors.Errorf("%d of %d daemons did not answer", n, len(answers))
+	}
+	return nil
+}
+
+// target is a daemon to ask. The name is unknown if the address was given.
+type target struct {
+	name    string
+	address netip.AddrPort
+}
+
+type answer struct {
+	target
+	status *peerapi.StatusResponse
+	err    error
+}
+
+func statusTargets(ctx context.Context, cmd *cli.Command) ([]target, error) {
+	var targets []target
+	for _, text := range cmd.StringSlice("daemon") {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, usageErrorf("--daemon: %v", err)
+		}
+		targets = append(targets, target{address: address})
+	}
+	if len(targets) > 0 {
+		return targets, nil
+	}
+	s, err := openStore(cmd)
+	if err != nil {
+		return nil, err
+	}
+	vms, err := s.VMs(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "list VMs")
+	}
+	if len(vms) == 0 {
+		return nil, errors.New("the store's list of VMs is empty")
+	}
+	for _, vm := range vms {
+		targets = append(targets, target{name: vm.Name, address: vm.Control})
+	}
+	return targets, nil
+}
--- a/internal/edit/state.go
+++ b/internal/edit/state.go
@@ -99,12 +99,9 @@
 	return &store.CallError{Kind: store.ErrUnavailable, Cause: errors.Errorf("gave up after %d attempts: %v", maxAttempts, err)}
 }
 
-// Resolve looks a write up among the last writes.
-func (e *Editor) Resolve(ctx context.Context, id tables.WriteID) (tables.Version, bool, error) {
+// Head returns the newest head without the whole tables. It is enough for the
+// history and to find a write by its id.
+func (e *Editor) Head(ctx context.Context) (*tables.Head, error) {
 	head, _, err := e.readHead(ctx)
-	if err != nil {
-		return 0, false, err
-	}
-	version, ok := head.Written(id)
-	return version, ok, nil
+	return head, err
 }
--- a/internal/tables/diff.go
+++ b/internal/tables/diff.go
@@ -139,14 +139,11 @@
 
 // describeServer returns the settings of a server, or "".
 func (s *Snapshot) describeServer(pool, name string) string {
-	p, ok := s.Pool(pool)
+	srv, ok := s.Server(pool, name)
 	if !ok {
 		return ""
 	}
-	if i := findServer(p.Servers, name); i >= 0 {
-		return p.Servers[i].Settings()
-	}
-	return ""
+	return srv.Settings()
 }
 
 // Describe returns the settings of an entry, or "" if it does not exist. Two
--- a/internal/tables/ini.go
+++ b/internal/tables/ini.go
@@ -50,7 +50,7 @@
 func ParseINI(file string, data []byte) (Desired, error) {
 	f, err := ini.LoadSources(iniOptions, data)
 	if err != nil {
-		return Desired{}, errors.Wrap(err, file)
+		return Desired{}, &INIError{File: file, Expected: "INI syntax: " + err.Error()}
 	}
 	p := &iniParser{file: file, seen: make(map[string]bool)}
 	for _, sec := range f.Sections() {
--- a/internal/tables/ini_test.go
+++ b/internal/tables/ini_test.go
@@ -40,6 +40,7 @@
 	const route = "[route r]\naddress=192.0.2.1\nport=1\nprotocol=tcp\npool=p\n"
 	for _, test := range []struct{ name, text, section, key, value string }{
 		{"unknown section", "[server x]\n", "server x", "", ""},
+		{"syntax", "[pool p\n", "", "", ""},
 		{"no name", "[pool]\n", "pool", "", ""},
 		{"duplicate section", "[pool p]\n[pool p]\n", "pool p", "", ""},
 		{"key outside", "a = b\n", "DEFAULT", "a", "b"},
--- a/internal/tables/tables.go
+++ b/internal/tables/tables.go
@@ -180,6 +180,16 @@
 	return p, ok
 }
 
+// Server returns a copy of the server with this name in a pool.
+func (s *Snapshot) Server(pool, name string) (Server, bool) {
+	if p, ok := s.poolByName[pool]; ok {
+		if i := findServer(p.Servers, name); i >= 0 {
+			return p.Servers[i], true
+		}
+	}
+	return Server{}, false
+}
+
 // ServerByID returns the server with this id and its pool.
 func (s *Snapshot) ServerByID(id ServerID) (ServerRef, bool) {
 	r, ok := s.serverByID[id]
