Read and check the settings file

One pass over a table of keys that also is the reference: every problem names file, section, key, value and what was expected, and all problems of a file are reported together. Unknown and repeated sections and keys are problems.

--- /dev/null
+++ b/internal/settings/parse.go
@@ -0,0 +1,156 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"gopkg.in/ini.v1"
+)
+
+// maxFileSize bounds what is read of a settings file.
+const maxFileSize = 1 << 20
+
+// Load reads and checks a settings file. Relative paths in it start at its
+// directory. The error is an *InvalidError if the file could be read.
+func Load(path string) (*Settings, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	if info.Size() > maxFileSize {
+		return nil, errors.Errorf("read settings %q: %d bytes, want at most %d", path, info.Size(), maxFileSize)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return Parse(path, data)
+}
+
+// Parse checks the content of a settings file; path names it in errors and
+// gives the directory of relative paths. The error is an *InvalidError with all
+// problems of the file.
+func Parse(path string, data []byte) (*Settings, error) {
+	p := parser{file: path, draft: draft{dir: filepath.Dir(path)}}
+	file, err := ini.LoadSources(ini.LoadOptions{
+		// Shadows make a key that is given twice visible.
+		AllowShadows:               true,
+		AllowDuplicateShadowValues: true,
+		AllowNonUniqueSections:     true,
+		IgnoreContinuation:         true,
+	}, data)
+	if err != nil {
+		p.report("", "", "", fmt.Sprintf("an INI file (%v)", err))
+		return nil, p.err()
+	}
+	p.unknown(file)
+	for _, k := range keys {
+		p.key(file, k)
+	}
+	p.together()
+	if err := p.err(); err != nil {
+		return nil, err
+	}
+	return &p.draft.Settings, nil
+}
+
+// parser collects the settings and the problems of one file.
+type parser struct {
+	file     string
+	draft    draft
+	problems []Problem
+}
+
+func (p *parser) report(section, key, value, expected string) {
+	p.problems = append(p.problems, Problem{File: p.file, Section: section, Key: key, Value: value, Expected: expected})
+}
+
+func (p *parser) err() error {
+	if len(p.problems) == 0 {
+		return nil
+	}
+	return &InvalidError{Problems: p.problems}
+}
+
+// unknown reports sections and keys that the reference does not list, and
+// sections that are given twice.
+func (p *parser) unknown(file *ini.File) {
+	seen := map[string]bool{}
+	for _, s := range file.Sections() {
+		known := keyNames(s.Name())
+		switch {
+		case s.Name() == ini.DefaultSection:
+			for _, k := range s.Keys() {
+				p.report("", k.Name(), k.Value(), "a section line such as [vm] before the first key")
+			}
+		case known == nil:
+			p.report(s.Name(), "", "", "one of the sections "+strings.Join(sectionNames(), ", "))
+		case seen[s.Name()]:
+			p.report(s.Name(), "", "", "each section once")
+		default:
+			p.unknownKeys(s, known)
+		}
+		seen[s.Name()] = true
+	}
+}
+
+func (p *parser) unknownKeys(s *ini.Section, known []string) {
+	for _, k := range s.Keys() {
+		if !slices.Contains(known, k.Name()) {
+			p.report(s.Name(), k.Name(), k.Value(), "one of the keys "+strings.Join(known, ", "))
+		}
+	}
+}
+
+// key checks one known key and stores its value or its default.
+func (p *parser) key(file *ini.File, k Key) {
+	value, given := k.Default, false
+	if s, err := file.GetSection(k.Section); err == nil && s.HasKey(k.Name) {
+		values := s.Key(k.Name).ValueWithShadows()
+		value, given = s.Key(k.Name).Value(), true
+		if len(values) > 1 {
+			p.report(k.Section, k.Name, strings.Join(values, " and "), "one value")
+			return
+		}
+	}
+	if !given && k.Required {
+		p.report(k.Section, k.Name, "", "a value: "+k.Meaning)
+		return
+	}
+	if expected := k.set(&p.draft, value); expected != "" {
+		p.report(k.Section, k.Name, value, expected)
+	}
+}
+
+// together checks what concerns several keys.
+func (p *parser) together() {
+	s := &p.draft.Settings
+	if s.Control.IsValid() && s.Control == s.Metrics {
+		p.report("addresses", "metrics", s.Metrics.String(), "an address other than that of key \"control\"")
+	}
+	s.Seeds = withoutSelf(s.Seeds, s.Control)
+}
+
+func keyNames(section string) []string {
+	var names []string
+	for _, k := range keys {
+		if k.Section == section {
+			names = append(names, k.Name)
+		}
+	}
+	return names
+}
+
+func sectionNames() []string {
+	var names []string
+	for _, k := range keys {
+		if !slices.Contains(names, k.Section) {
+			names = append(names, k.Section)
+		}
+	}
+	return names
+}
