--- a/standin/site/judge.go
+++ b/standin/site/judge.go
@@ -80,6 +80,11 @@
 	return !j.changes.killed.IsZero() && overlaps(r, j.changes.killed, j.changes.killed.Add(crashEffect))
 }
 
+func (j *judge) crashEffectAt(t time.Time) bool {
+	k := j.changes.killed
+	return !k.IsZero() && !t.Before(k) && t.Before(k.Add(crashEffect))
+}
+
 func (j *judge) leaveEnd() time.Time {
 	if j.changes.leaveEnded.IsZero() {
 		return time.Now()
--- a/standin/site/report.go
+++ b/standin/site/report.go
@@ -107,7 +107,8 @@
 }
 
 func (s *Summary) writeViolations(b *strings.Builder) {
-	fmt.Fprintf(b, "violations of promises: %d\n", s.ViolationCount)
+	fmt.Fprintf(b, "violations of promises: %d, %d of them within %s after the crash\n",
+		s.ViolationCount, s.AfterCrash, crashEffect)
 	kinds := make(map[fabric.Kind][]fabric.Violation)
 	for _, v := range s.Violations {
 		kinds[v.Kind] = append(kinds[v.Kind], v)
--- a/standin/site/summary.go
+++ b/standin/site/summary.go
@@ -35,6 +35,9 @@
 	// Violations are the first ones, ViolationCount counts all.
 	Violations     []fabric.Violation `json:"violations"`
 	ViolationCount int                `json:"violation_count"`
+	// AfterCrash is how many of the listed violations came within crashEffect
+	// after the crash. They count like the others.
+	AfterCrash int `json:"after_crash"`
 	// LeaveError tells why the leaving balancer did not leave in order.
 	LeaveError string `json:"leave_error,omitempty"`
 }
@@ -138,6 +141,11 @@
 	seen, count := r.world.fabric.Ledger().Violations()
 	s.Violations = append(j.violations, seen...)
 	s.ViolationCount = len(j.violations) + count
+	for _, v := range s.Violations {
+		if j.crashEffectAt(v.At) {
+			s.AfterCrash++
+		}
+	}
 }
 
 func (f *Flows) add(r flowResult, byCrash bool, killed time.Time) {
