Fit flow chunks to a size class of the allocator

Cause: a chunk of 128 flows with its allocator header took a class 6% larger. Change: 102 flows a chunk. Result: 91.6 bytes a flow instead of 97.0 at 500,000 flows (BenchmarkMemory); lookups 332 ns against 325 ns, within the noise of a machine at load 13.

--- a/internal/flow/slab.go
+++ b/internal/flow/slab.go
@@ -3,12 +3,10 @@
 // index numbers a flow within its shard, from 1; 0 is none.
 type index uint32
 
-const (
-	chunkBits = 7
-	// chunkFlows is how many flows are allocated at once: small enough that
-	// the last, partly used chunk of every shard costs about 1 byte a flow.
-	chunkFlows = 1 << chunkBits
-)
+// chunkFlows is how many flows are allocated at once. With the allocator's
+// header they just fit its size class of 8 KiB; 128 flows would waste 5 bytes
+// a flow. The last, partly used chunk of every shard costs about 0.5 bytes.
+const chunkFlows = 102
 
 // slab holds the flows of a shard at fixed places. Chunks stay allocated for
 // reuse; the table's maximum bounds them.
@@ -20,7 +18,7 @@
 }
 
 func (s *slab) at(i index) *Flow {
-	return &s.chunks[i>>chunkBits][i&(chunkFlows-1)]
+	return &s.chunks[i/chunkFlows][i%chunkFlows]
 }
 
 // take returns an unused entry and its number.
@@ -36,7 +34,7 @@
 	}
 	i := s.next
 	s.next++
-	if int(i>>chunkBits) == len(s.chunks) {
+	if int(i/chunkFlows) == len(s.chunks) {
 		s.chunks = append(s.chunks, new([chunkFlows]Flow))
 	}
 	return i, s.at(i)
