Learn faster at first

A daemon that had just started needed a minute to learn unequal speeds. The gain is now 1/t after t seconds of learning, and 0.02 a second at least.

--- a/internal/selection/bench_test.go
+++ b/internal/selection/bench_test.go
@@ -65,6 +65,10 @@
 		{"short_only", func(m *model) { m.longPart, m.short, m.windows = 0, 5*time.Millisecond, 3 }},
 		// UDP flows have no visible end: they count until they were idle for 2 s.
 		{"late_end", func(m *model) { m.closeLag = 2 * time.Second }},
+		// A daemon that has just started and has learned nothing.
+		{"first_14s", func(m *model) { m.firstSeconds(0) }},
+		{"first_14s_late_end_0.25s", func(m *model) { m.firstSeconds(250 * time.Millisecond) }},
+		{"first_14s_late_end_2s", func(m *model) { m.firstSeconds(2 * time.Second) }},
 		{"load_0.3", func(m *model) { m.load = 0.3 }},
 		{"load_0.8", func(m *model) { m.load = 0.8 }},
 	}
@@ -88,6 +92,11 @@
 	}
 }
 
+func (m *model) firstSeconds(closeLag time.Duration) {
+	m.warmUp, m.window, m.windows = 3*time.Second, 11*time.Second, 1
+	m.short, m.longPart, m.load, m.closeLag = 45*time.Millisecond, 0, 0.5, closeLag
+}
+
 // Measures one decision with 4,800 servers in the tables, together with the
 // reports of the flow's opening and closing.
 func BenchmarkChoose(b *testing.B) {
--- a/internal/selection/pool.go
+++ b/internal/selection/pool.go
@@ -14,7 +14,8 @@
 	// TuneInterval is the time between two corrections.
 	TuneInterval = 100 * time.Millisecond
 	// GainPerSecond is the relative correction for each second in which a
-	// server is used twice as much as the mean.
+	// server is used twice as much as the mean. It is higher at first: after t
+	// seconds of learning 1/t.
 	GainPerSecond = 0.02
 	// GainPerFlow bounds the correction for one flow of average length, so that
 	// an owner with few flows learns from many of them rather than from the
@@ -50,14 +51,17 @@
 	p.tunedAt = now
 	p.opened *= math.Exp(-float64(elapsed) / float64(BusyDecay))
 	warm, correction := p.measure(now)
-	if p.utilisation == 0 {
+	if p.utilisation <= 0 {
 		return
 	}
 	flowsPerSecond := p.opened / BusyDecay.Seconds() / warm
-	gain := min(GainPerSecond, GainPerFlow*flowsPerSecond) * min(elapsed, maxTuneStep).Seconds()
+	step := min(elapsed, maxTuneStep)
+	most := GainPerFlow * flowsPerSecond
 	for i, rec := range p.servers {
 		if p.tunable(i, now) {
-			rec.correct(gain*(rec.utilisation/p.utilisation-1), correction)
+			rec.tuned += step
+			gain := min(most, max(GainPerSecond, 1/rec.tuned.Seconds()))
+			rec.correct(gain*step.Seconds()*(rec.utilisation/p.utilisation-1), correction)
 		}
 	}
 }
--- a/internal/selection/server.go
+++ b/internal/selection/server.go
@@ -31,6 +31,8 @@
 	utilisation float64
 	// correction multiplies the operator's weight; see pool.tune.
 	correction float64
+	// tuned is how long the correction has been learned.
+	tuned time.Duration
 	// coldSince is the appearance or the end of the last ejection.
 	coldSince instant
 
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -107,7 +107,7 @@
 	if float64(rec.flows) > part*(BoundFactor*w.flows+float64(w.usable)) {
 		return false
 	}
-	return rec.utilisation <= BusyBoundFactor*w.pool.utilisation*rec.warmth(w.now)
+	return rec.utilisation <= BusyBoundFactor*max(0, w.pool.utilisation)*rec.warmth(w.now)
 }
 
 // candidate is the best server found so far, if any.
