--- /dev/null
+++ b/cmd/knapweedshored/app.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+)
+
+const rootDescription = `A layer-4 load balancer: every entry VM of a region runs this daemon.
+
+Examples:
+  knapweedshored check-config --config /etc/knapweedshore/vm.ini
+  knapweedshored run --config /etc/knapweedshore/vm.ini
+  knapweedshored dev
+  knapweedshored dev --site quesada --seed 7 --output json
+
+Exit codes:
+  0  done
+  1  failure, or dev has seen a broken promise
+  2  wrong usage`
+
+// Exit codes, documented in the help of the root command.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// usageError is a command line that makes no sense.
+type usageError struct{ text string }
+
+func (e *usageError) Error() string { return e.text }
+
+func usageErrorf(format string, args ...any) error {
+	return &usageError{text: fmt.Sprintf(format, args...)}
+}
+
+// run executes one command line and returns its exit code.
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	root := newRoot(out, errOut)
+	err := root.Run(ctx, args)
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintf(errOut, "%s: %v\n", root.Name, err)
+	if _, ok := errors.Into[*usageError](err); ok {
+		return exitUsage
+	}
+	return exitFailure
+}
+
+func newRoot(out, errOut io.Writer) *cli.Command {
+	root := &cli.Command{
+		Name:                  "knapweedshored",
+		Usage:                 "balance flows over backend servers",
+		Description:           rootDescription,
+		EnableShellCompletion: true,
+		Suggest:               true,
+		Writer:                out,
+		ErrWriter:             errOut,
+		Commands:              []*cli.Command{runCommand(), checkCommand(), devCommand()},
+		Action:                missingCommand,
+		// run prints the error and chooses the exit code.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	reportUsageErrors(root)
+	return root
+}
+
+func missingCommand(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return usageErrorf("unknown command %q; see %s --help", cmd.Args().First(), cmd.FullName())
+	}
+	_ = cli.ShowSubcommandHelp(cmd) // help that cannot be written changes nothing
+	return usageErrorf("a command is required")
+}
+
+// reportUsageErrors makes the errors of the flag parser usage errors; the
+// library does not inherit the handler.
+func reportUsageErrors(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+		return usageErrorf("%v; see %s --help", err, cmd.FullName())
+	}
+	for _, sub := range cmd.Commands {
+		reportUsageErrors(sub)
+	}
+}
+
+// withoutArguments refuses positional arguments, which no command has.
+func withoutArguments(action cli.ActionFunc) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		if cmd.Args().Present() {
+			return usageErrorf("unexpected argument %q; see %s --help", cmd.Args().First(), cmd.FullName())
+		}
+		return action(ctx, cmd)
+	}
+}
+
+func configFlag() cli.Flag {
+	return &cli.StringFlag{Name: "config", Aliases: []string{"c"}, Required: true, Usage: "settings `FILE` in INI form", TakesFile: true}
+}
--- /dev/null
+++ b/cmd/knapweedshored/app_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+type outcome struct {
+	code     int
+	out, err string
+}
+
+func execute(args ...string) outcome {
+	var out, errOut bytes.Buffer
+	code := run(context.Background(), append([]string{"knapweedshored"}, args...), &out, &errOut)
+	return outcome{code, out.String(), errOut.String()}
+}
+
+// Guards against a wrong command line that does something or exits with 0.
+func TestWrongUsage(t *testing.T) {
+	for name, args := range map[string][]string{
+		"no command":         nil,
+		"unknown command":    {"start"},
+		"unknown flag":       {"dev", "--sites", "dev"},
+		"unknown site":       {"dev", "--site", "cartago"},
+		"unknown output":     {"dev", "--output", "yaml"},
+		"too short":          {"dev", "--duration", "1s"},
+		"argument for dev":   {"dev", "quesada"},
+		"argument for check": {"check-config", "--config", "vm.ini", "other.ini"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			o := execute(args...)
+			is.Equal(o.code, exitUsage)
+			is.True(o.err != "")
+		})
+	}
+}
+
+// Guards against help that lacks the examples, and against lost completion.
+func TestHelpAndCompletion(t *testing.T) {
+	is := is.New(t)
+	o := execute("--help")
+	is.Equal(o.code, exitOK)
+	is.True(bytes.Contains([]byte(o.out), []byte("knapweedshored run --config")))
+	o = execute("completion", "bash")
+	is.Equal(o.code, exitOK)
+	is.True(bytes.Contains([]byte(o.out), []byte("knapweedshored")))
+}
--- /dev/null
+++ b/cmd/knapweedshored/check.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"knapweedshore.example/internal/member"
+	"knapweedshore.example/internal/peer"
+	"knapweedshore.example/internal/settings"
+)
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check-config",
+		Usage: "check a settings file and the keys it names",
+		Description: `Reads the file as "run" would and reports every problem; opens no socket.
+
+Example:
+  knapweedshored check-config --config /etc/knapweedshore/vm.ini`,
+		Flags:  []cli.Flag{configFlag()},
+		Action: withoutArguments(check),
+	}
+}
+
+func check(_ context.Context, cmd *cli.Command) error {
+	s, _, err := loadConfig(cmd.String("config"))
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(cmd.Root().Writer, "settings of VM %q in region %q, zone %q are good\n", s.Name, s.Region, s.Zone)
+	return err
+}
+
+// loadConfig reads the settings and the keys, which must name the same VM: the
+// peers of a VM refuse one whose certificate is for another.
+func loadConfig(path string) (*settings.Settings, *peer.Credentials, error) {
+	s, err := settings.Load(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	c, err := peer.LoadCredentials(s.TLS.CA, s.TLS.Cert, s.TLS.Key)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "load keys")
+	}
+	if c.Name != member.Name(s.Name) || c.Region != s.Region {
+		return nil, nil, errors.Errorf("certificate %q is for VM %q in region %q, want %q in %q",
+			s.TLS.Cert, c.Name, c.Region, s.Name, s.Region)
+	}
+	return s, c, nil
+}
--- a/cmd/knapweedshored/main.go
+++ b/cmd/knapweedshored/main.go
@@ -1,4 +1,9 @@
 // Command knapweedshored is the load balancer daemon on an entry VM.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+)
+
+func main() { os.Exit(run(context.Background(), os.Args, os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/cmd/knapweedshored/metrics.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/peerapi"
+)
+
+const (
+	metricsPath = "/debug/vars"
+	// metricsTimeout bounds a request, so that stuck scrapers hold no memory.
+	metricsTimeout = 5 * time.Second
+)
+
+// serveMetrics serves the counters and the status until stop is called.
+func serveMetrics(l net.Listener, r *metrics.Registry, status func() *peerapi.StatusResponse, log *events.Logger) (stop func()) {
+	server := &http.Server{
+		Handler:     metricsHandler(r, status),
+		ReadTimeout: metricsTimeout, WriteTimeout: metricsTimeout, IdleTimeout: time.Minute,
+		MaxHeaderBytes: 1 << 14,
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			log.Log(events.DaemonFailed, zap.String("part", "metrics"), zap.Error(err))
+		}
+	}()
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close() // the process ends anyway
+		}
+		<-done
+	}
+}
+
+// metricsHandler writes the variables of one daemon in the form of expvar. It
+// leaves out the process-wide command line, which names files.
+func metricsHandler(r *metrics.Registry, status func() *peerapi.StatusResponse) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		state, err := protojson.Marshal(status())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		// A scraper that has gone away needs no error.
+		_, _ = fmt.Fprintf(w, "{\n\"knapweedshore\": %s,\n\"status\": %s,\n\"memstats\": %s\n}\n",
+			r.Map(), state, expvar.Get("memstats"))
+	})
+	return mux
+}
