Test the table syncer

Cause: a change must be in force everywhere within 5 s, also when watchers die or the store goes down. Change: tests with a store and a mesh in fake time: dying watchers, outages, gaps, lost floods, regressed versions, starts, and a property of versions and callbacks.

--- /dev/null
+++ b/internal/tablesync/harness_test.go
@@ -0,0 +1,291 @@
+package tablesync
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/member"
+	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/store"
+	"knapweedshore.example/internal/tables"
+	"knapweedshore.example/peerapi"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func check(t interface{ Fatal(...any) }, err error) {
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// change is the delta that leads to a version: it adds one pool.
+func change(v tables.Version) tables.Delta {
+	return tables.Delta{
+		Version: v, WriteID: tables.NewWriteID(), Author: "test", Time: time.Now(),
+		Operations: []tables.Operation{tables.PutPool{Name: fmt.Sprintf("pool-%d", v)}},
+	}
+}
+
+// fakeStore keeps the head. It can be down, and it can answer the next watch
+// and then go down.
+type fakeStore struct {
+	mu       sync.Mutex
+	head     *tables.Head
+	values   map[string][]byte
+	revision uint64
+	changed  chan struct{}
+	down     bool
+	lastGasp bool // go down after the next watch that reports a change
+	calls    int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{head: &tables.Head{}, values: make(map[string][]byte), changed: make(chan struct{})}
+}
+
+func (s *fakeStore) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// commit accepts one change.
+func (s *fakeStore) commit(t *testing.T) tables.Version {
+	s.set(func() {
+		next, err := s.head.Append(change(s.head.Version + 1))
+		check(t, err)
+		s.head = next
+		s.revision++
+	})
+	return s.head.Version
+}
+
+func (s *fakeStore) read(key string, after uint64) (store.Value, error) {
+	data, found := s.values[key]
+	if key == tables.HeadKey {
+		data, found = s.head.Encode(), s.revision > 0
+	}
+	switch {
+	case s.down:
+		return store.Value{}, store.ErrUnavailable
+	case !found:
+		return store.Value{}, store.ErrNotFound
+	case s.revision <= after:
+		return store.Value{}, store.ErrNotModified
+	}
+	return store.Value{Data: data, Revision: s.revision}, nil
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (store.Value, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return s.read(key, 0)
+}
+
+func (s *fakeStore) Watch(ctx context.Context, key string, after uint64) (store.Value, error) {
+	end := time.After(store.WatchWait)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	for {
+		v, err := s.read(key, after)
+		if err == nil && s.lastGasp {
+			s.down = true
+		}
+		if err != store.ErrNotModified {
+			return v, err
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+			s.mu.Lock()
+			continue
+		case <-end:
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+		s.mu.Lock()
+		return store.Value{}, err
+	}
+}
+
+func (s *fakeStore) Swap(context.Context, string, []byte, uint64) (uint64, error) {
+	panic("a daemon never writes tables")
+}
+func (s *fakeStore) VMs(context.Context) ([]store.VM, error) { return nil, nil }
+
+// daemon is a syncer with members and links that hand over at once.
+type daemon struct {
+	*Syncer
+	mesh   *mesh
+	name   member.Name
+	table  *member.Table
+	logs   *observer.ObservedLogs
+	kill   context.CancelFunc
+	alive  bool
+	silent bool // floods are lost, heartbeats are not
+}
+
+// mesh connects daemons along the ring.
+type mesh struct {
+	t       *testing.T
+	store   *fakeStore
+	mu      sync.Mutex
+	daemons []*daemon
+	group   conc.WaitGroup
+}
+
+// inMesh runs a test with count daemons in three zones in fake time.
+func inMesh(t *testing.T, count int, f func(t *testing.T, m *mesh)) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &mesh{t: t, store: newFakeStore()}
+		t.Cleanup(m.group.Wait)
+		for range count {
+			m.start()
+		}
+		f(t, m)
+	})
+}
+
+// start adds a daemon that knows all others.
+func (m *mesh) start() *daemon {
+	m.mu.Lock()
+	i := len(m.daemons)
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 1)
+	core, logs := observer.New(zapcore.InfoLevel)
+	d := &daemon{mesh: m, name: member.Name(fmt.Sprintf("vm-%d", i)), logs: logs, alive: true}
+	logger, registry := events.New(zap.New(core)), metrics.NewRegistry()
+	var err error
+	d.table, err = member.New(member.Config{Events: logger, Metrics: registry, Self: member.Member{
+		Name: d.name, Region: "cartago", Zone: fmt.Sprintf("z%d", i%3), Capacity: 1, Control: address, Data: address,
+	}})
+	check(m.t, err)
+	d.Syncer, err = New(Config{Members: d.table, Store: m.store, Events: logger, Metrics: registry})
+	check(m.t, err)
+	for _, other := range m.daemons {
+		other.table.Apply("", []member.Member{d.table.View().Self})
+		d.table.Apply("", []member.Member{other.table.View().Self})
+	}
+	m.daemons = append(m.daemons, d)
+	m.mu.Unlock()
+	ctx, cancel := context.WithCancel(m.t.Context())
+	d.kill = cancel
+	m.group.Go(func() { _ = d.Run(ctx, d) })
+	m.group.Go(func() {
+		for sleep(ctx, member.HeartbeatInterval) {
+			for _, other := range m.linked(d) {
+				other.Heard(d.name, d.Version(), d.Age())
+			}
+		}
+	})
+	return d
+}
+
+// crash stops a daemon; the others notice it after two seconds.
+func (m *mesh) crash(d *daemon) {
+	m.mu.Lock()
+	d.alive = false
+	m.mu.Unlock()
+	d.kill()
+	m.group.Go(func() {
+		sleep(m.t.Context(), 2*time.Second)
+		record := d.table.View().Self
+		for _, state := range []member.State{member.Suspect, member.Left} {
+			record.State = state
+			for _, other := range m.daemons {
+				other.table.Apply("", []member.Member{record})
+			}
+		}
+	})
+}
+
+// linked returns the ring neighbours of a daemon that are alive.
+func (m *mesh) linked(d *daemon) []*daemon {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*daemon
+	linksTo := func(a, b *daemon) bool {
+		return slices.ContainsFunc(a.table.View().Successors(), func(s member.Member) bool { return s.Name == b.name })
+	}
+	for _, other := range m.daemons {
+		if other != d && other.alive && d.alive && (linksTo(d, other) || linksTo(other, d)) {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
+// Linked implements Peers.
+func (d *daemon) Linked() (names []member.Name) {
+	for _, other := range d.mesh.linked(d) {
+		names = append(names, other.name)
+	}
+	return names
+}
+
+// FloodTables implements Peers.
+func (d *daemon) FloodTables(v tables.Version, delta []byte, from member.Name) {
+	if d.silent {
+		return
+	}
+	for _, other := range d.mesh.linked(d) {
+		if other.name != from {
+			other.Offer(d.name, v, delta)
+		}
+	}
+}
+
+// FetchTables implements Peers.
+func (d *daemon) FetchTables(ctx context.Context, to member.Name, have tables.Version) (*peerapi.FetchTablesResponse, error) {
+	for _, other := range d.mesh.linked(d) {
+		if other.name == to {
+			return other.Fetch(have), nil
+		}
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// inForce waits until all live daemons have a version.
+func (m *mesh) inForce(v tables.Version, limit time.Duration) {
+	m.t.Helper()
+	started := time.Now()
+	for !m.all(func(d *daemon) bool { return d.Version() == v }) {
+		if time.Since(started) > limit {
+			m.t.Fatalf("version %d is not in force on every daemon within %v", v, limit)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (m *mesh) all(f func(d *daemon) bool) bool {
+	return !slices.ContainsFunc(m.daemons, func(d *daemon) bool { return d.alive && !f(d) })
+}
+
+// watchers returns the live daemons that watch the store.
+func (m *mesh) watchers() (out []*daemon) {
+	for _, d := range m.daemons {
+		if d.alive && d.table.View().Watches() {
+			out = append(out, d)
+		}
+	}
+	return out
+}
--- a/internal/tablesync/watch.go
+++ b/internal/tablesync/watch.go
@@ -22,8 +22,8 @@
 	// rolePoll is the period in which a daemon looks whether it is a watcher.
 	rolePoll = 250 * time.Millisecond
 	// watchTimeout bounds one long poll, because its connection can go silent.
-	// It is longer than the store's own wait.
-	watchTimeout = 15 * time.Second
+	// It leaves the store client time for its own deadline and call budget.
+	watchTimeout = store.WatchWait + store.WatchSlack + time.Second
 	// readTimeout bounds one read.
 	readTimeout = 2 * time.Second
 	// watchRetryFirst and watchRetryMax bound the pause after a failed watch.
