--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -81,7 +81,8 @@
 func (t *Table) View() *View { return t.view.Load() }
 
 // OnChange registers f, which is called after each change of the view, in
-// order. Callbacks must be short; they may use the table.
+// order. Callbacks must be short: one that takes as long as PauseLimit holds up
+// the table's loop and costs the daemon its standing. They may use the table.
 func (t *Table) OnChange(f func(v *View)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/peer/cluster_failure_test.go
+++ b/internal/peer/cluster_failure_test.go
@@ -9,8 +9,10 @@
 
 	"github.com/matryer/is"
 
+	"knapweedshore.example/internal/events"
 	"knapweedshore.example/internal/member"
 	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/store"
 )
 
 // inMemory runs a test with a cluster on a network in memory and fake time.
@@ -132,6 +134,35 @@
 	})
 }
 
+// directory is a fixed list of VMs.
+type directory []store.VM
+
+func (d directory) VMs(context.Context) ([]store.VM, error) { return d, nil }
+
+// Guards against a daemon without configured contacts that does not find its
+// region, and against contacts taken from another region.
+func TestDirectoryGivesContacts(t *testing.T) {
+	inMemory(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.start("a", "z1")
+		met, elsewhere := c.contacts[0], netip.MustParseAddrPort("10.0.0.77:1")
+		list := directory{
+			{Name: "a", Region: testRegion, Control: met},
+			{Name: "x", Region: "tn-north", Control: elsewhere},
+		}
+		self := member.Member{Name: "b", Region: testRegion, Zone: "z2", Capacity: 1,
+			Control: netip.MustParseAddrPort("10.0.0.2:1"), Data: netip.MustParseAddrPort("10.0.0.2:2")}
+		b := c.run(self, Config{
+			Listener: c.net.listen(self.Control), Dial: c.net.dialFrom(self.Control), Directory: list,
+			Events: events.Discard(), Metrics: metrics.NewRegistry(),
+		})
+		within(t, 3*time.Second, "members know each other", func() bool { return agree(c.nodes, c.nodes) })
+		for _, candidate := range b.candidates() {
+			is.True(candidate.address != elsewhere)
+		}
+	})
+}
+
 // Guards against a Run that hangs or returns an error when its context ends.
 func TestRunEndsWithContext(t *testing.T) {
 	inMemory(t, func(t *testing.T, c *cluster) {
--- a/internal/peer/meet.go
+++ b/internal/peer/meet.go
@@ -22,6 +22,9 @@
 	// directoryInterval is the period in which the platform's VM list is read.
 	// At 780 daemons it costs the store 1.3 reads a second.
 	directoryInterval = 10 * time.Minute
+	// directoryGrace is how long configured contacts have to answer before the
+	// list is read for others.
+	directoryGrace = 5 * time.Second
 	// directoryRetry is the first pause after a failed read of the list.
 	directoryRetry = 5 * time.Second
 )
@@ -100,8 +103,18 @@
 	_ = n.link(ctx, life, c.address, c.name)
 }
 
-// readDirectory reads the platform's list of VMs for contacts and removals.
+// readDirectory reads the platform's list of VMs for contacts and removals. A
+// daemon with contacts reads it at once only if none of them answers, so that
+// a restart of the fleet does not burden the store.
 func (n *Node) readDirectory(ctx context.Context) {
+	if len(n.cfg.Contacts) > 0 {
+		if !sleep(ctx, directoryGrace) {
+			return
+		}
+		if len(n.Linked()) > 0 && !sleep(ctx, rand.N(directoryInterval)) {
+			return
+		}
+	}
 	pause := directoryRetry
 	for {
 		vms, err := n.cfg.Directory.VMs(ctx)
