Ask only likely servers whether to avoid them

The daemon answers Avoid with a lookup in the flow table, and a choice among 20 servers asked 40 times.

--- a/internal/selection/bench_test.go
+++ b/internal/selection/bench_test.go
@@ -121,6 +121,24 @@
 	}
 }
 
+// Measures one decision that has to avoid servers, which costs the caller a
+// lookup for each one asked about.
+func BenchmarkChooseAvoid(b *testing.B) {
+	pools := largeTables(4800, 20)
+	c := NewChooser(start, nil)
+	c.applyPools(pools, start)
+	b.ReportAllocs()
+	key, asked := uint64(0), 0
+	avoid := func(s *tables.Server) bool { asked++; return s.ID%20 == 0 }
+	for b.Loop() {
+		key += 0x9E3779B97F4A7C15
+		if _, err := c.Choose(Request{Key: key, Pool: pools[key%uint64(len(pools))], Now: start, Avoid: avoid}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(asked)/float64(b.N), "asked/op")
+}
+
 // Measures how long a new version takes to apply with 4,800 servers.
 func BenchmarkApply(b *testing.B) {
 	pools := largeTables(4800, 14)
--- a/internal/selection/chooser.go
+++ b/internal/selection/chooser.go
@@ -71,13 +71,15 @@
 	defer c.mu.Unlock()
 	w := walk{request: r, now: c.at(r.Now), share: c.share, pool: c.pool(r.Pool, c.at(r.Now))}
 	w.survey()
-	switch {
-	case w.usable == 0 && w.full > 0:
+	if w.usable > 0 {
+		if choice, ok := w.choose(); ok {
+			return choice, nil
+		}
+	}
+	if w.full > 0 {
 		return Choice{}, errServerLimit
-	case w.usable == 0:
-		return Choice{}, errNoUsableServer
 	}
-	return w.choose(), nil
+	return Choice{}, errNoUsableServer
 }
 
 // pool returns the records of the pool. A pool of a version that was not
--- a/internal/selection/chooser_test.go
+++ b/internal/selection/chooser_test.go
@@ -354,6 +354,29 @@
 	group.Wait()
 }
 
+// Guards against a flow on a server that it must avoid, under any load, and
+// against avoiding more than that server.
+func TestChooseAvoids(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(6)
+	for i := range 600 {
+		r := f.request(start)
+		r.DefaultOnly = i%2 == 0
+		want, _ := Default(r.Key, f.pool)
+		r.Avoid = func(s *tables.Server) bool { return s == want }
+		c, err := f.Choose(r)
+		is.NoErr(err)
+		is.True(c.Server != want)
+		is.True(!c.Default)
+		f.Opened(c.Server.ID, start)
+	}
+	r := f.request(start)
+	r.Avoid = func(s *tables.Server) bool { return s != &f.pool.Servers[3] }
+	c, err := f.Choose(r)
+	is.NoErr(err)
+	is.Equal(c.Server, &f.pool.Servers[3])
+}
+
 // Guards against garbage made by every new flow, accepted or refused.
 func TestChooseDoesNotAllocate(t *testing.T) {
 	is := is.New(t)
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -1,10 +1,6 @@
 package selection
 
-import (
-	"math"
-
-	"knapweedshore.example/internal/tables"
-)
+import "knapweedshore.example/internal/tables"
 
 // walk is one decision over the servers of a pool.
 type walk struct {
@@ -30,7 +26,7 @@
 
 func (w *walk) status(s *tables.Server, rec *server) status {
 	switch {
-	case s.State != tables.Active, rec.ejected(w.now), w.request.Avoid != nil && w.request.Avoid(s):
+	case s.State != tables.Active, rec.ejected(w.now):
 		return unusable
 	case rec.flows >= limitShare(s.Connections, w.share):
 		return full
@@ -62,11 +58,11 @@
 
 // choose returns the best usable server. Rendezvous scores are compared and not
 // sorted: the first server in the order that is within the bounds is the one
-// with the highest score among those within the bounds.
-func (w *walk) choose() Choice {
+// with the highest score among those within the bounds. It reports false when
+// the request avoids every usable server.
+func (w *walk) choose() (Choice, bool) {
 	var fallback, best, least candidate
 	fallbackUsable := false
-	least.load = math.Inf(1)
 	for i, rec := range w.pool.servers {
 		s := &w.pool.table.Servers[i]
 		if s.State != tables.Active {
@@ -81,22 +77,31 @@
 		if !takes {
 			continue
 		}
-		score *= rec.correction * rec.warmth(w.now)
-		load := float64(rec.flows) / rec.capacity(s, w.now)
-		if load < least.load || load == least.load && least.precededBy(s, score) {
-			least = candidate{s, score, load}
+		next := candidate{s, score * rec.correction * rec.warmth(w.now), float64(rec.flows) / rec.capacity(s, w.now)}
+		better := best.precededBy(s, next.score) && w.withinBounds(s, rec)
+		lower := next.lessLoaded(least)
+		// Avoid is costly, and few servers get this far.
+		if !better && !lower || w.avoids(s) {
+			continue
 		}
-		if best.precededBy(s, score) && w.withinBounds(s, rec) {
-			best = candidate{s, score, load}
+		if better {
+			best = next
+		}
+		if lower {
+			least = next
 		}
 	}
 	switch {
-	case w.request.DefaultOnly && fallbackUsable:
+	case w.request.DefaultOnly && fallbackUsable && !w.avoids(fallback.server):
 		best = fallback
 	case best.server == nil:
 		best = least
 	}
-	return Choice{Server: best.server, Default: best.server == fallback.server}
+	return Choice{Server: best.server, Default: best.server == fallback.server}, best.server != nil
+}
+
+func (w *walk) avoids(s *tables.Server) bool {
+	return w.request.Avoid != nil && w.request.Avoid(s)
 }
 
 // withinBounds bounds the open flows and the busy time. The bound of open flows
@@ -120,3 +125,11 @@
 func (c candidate) precededBy(s *tables.Server, score float64) bool {
 	return c.server == nil || precedes(score, s.ID, c.score, c.server.ID)
 }
+
+// lessLoaded breaks ties by the score, not by the order of the servers.
+func (c candidate) lessLoaded(other candidate) bool {
+	if other.server == nil || c.load != other.load {
+		return other.server == nil || c.load < other.load
+	}
+	return other.precededBy(c.server, c.score)
+}
