--- /dev/null
+++ b/cmd/knapweedshored/docs_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"knapweedshore.example/internal/events"
+)
+
+// Guards against a catalogue that lacks an event or differs from the code in
+// number, level, message or action.
+func TestEventsPageListsTheEventsOfTheCode(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/events.md")
+	is.NoErr(err)
+	var got, want []string
+	for line := range strings.Lines(string(page)) {
+		cells := strings.Split(strings.TrimSpace(line), " | ")
+		if len(cells) != 5 || cells[0] == "| number" {
+			continue
+		}
+		is.True(len(cells[3]) > 10) // every event has a meaning
+		got = append(got, strings.Join(slices.Delete(cells, 3, 4), " | "))
+	}
+	for _, e := range events.All() {
+		want = append(want, fmt.Sprintf("| %d | %s | %s | %s |", e.Number, e.Level, e.Message, e.Action))
+	}
+	is.Equal(strings.Join(got, "\n"), strings.Join(want, "\n"))
+}
+
+// Guards against alerts for events that do not exist, and against an error
+// without an alert.
+func TestAlertsNameEvents(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/operations.md")
+	is.NoErr(err)
+	_, section, found := strings.Cut(string(page), "## Alerts\n")
+	is.True(found)
+	alerts := map[string]bool{}
+	for line := range strings.Lines(section) {
+		cells := strings.Split(line, "|")
+		if len(cells) < 4 {
+			continue
+		}
+		for _, number := range strings.Split(cells[1], ",") {
+			alerts[strings.TrimSpace(number)] = true
+		}
+	}
+	for _, e := range events.All() {
+		number := fmt.Sprint(e.Number)
+		is.True(alerts[number] || e.Level.String() != "error") // an error has an alert
+		delete(alerts, number)
+	}
+	delete(alerts, "event")
+	delete(alerts, "---")
+	is.Equal(len(alerts), 0)
+}
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -41,7 +41,9 @@
 		AllowShadows:               true,
 		AllowDuplicateShadowValues: true,
 		AllowNonUniqueSections:     true,
+		PreserveEmptyShadowValues:  true,
 		IgnoreContinuation:         true,
+		KeyValueDelimiters:         "=",
 	}, data)
 	if err != nil {
 		p.report("", "", "", fmt.Sprintf("an INI file (%v)", err))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -123,6 +123,8 @@
 			Problem{Section: "limit"}},
 		{"key given twice with different values", "level = warn", "level = warn\nlevel = info",
 			Problem{Section: "log", Key: "level", Value: "warn and info"}},
+		{"key given twice, once empty", "level = warn", "level = warn\nlevel =",
+			Problem{Section: "log", Key: "level", Value: "warn and "}},
 		{"section given twice", "[log]", "[vm]\nzone = cartago-sur\n[log]",
 			Problem{Section: "vm"}},
 		{"key before any section", "[vm]", "level = info\n[vm]",
