Stop watching former ring successors

Cause: a trial with 130 members in one process showed suspicions of live members: one that was a ring successor until others joined stayed watched although no link to it was ever opened, and each refutation was flooded. Change: a member is watched as a successor only while it is one.

--- a/internal/member/detect.go
+++ b/internal/member/detect.go
@@ -37,29 +37,32 @@
 type record struct {
 	Member
 	since time.Time // start of the current state and incarnation
-	// watched is set while silence of the member raises a suspicion: it is a
-	// ring successor, or it had a link to this daemon that did not end in
+	// successor and linked say why silence of the member raises a suspicion:
+	// this daemon must link to it, or there was a link that did not end in
 	// order.
-	watched bool
-	silent  time.Time     // start of the silence
-	limit   time.Duration // silence that raises a suspicion
-	heard   time.Time     // last message of the member itself
+	successor, linked bool
+	silent            time.Time     // start of the silence
+	limit             time.Duration // silence that raises a suspicion
+	heard             time.Time     // last message of the member itself
 }
 
+func (r *record) watched() bool { return !r.ended() && (r.successor || r.linked) }
+
 // set replaces the record by a newer one.
 func (r *record) set(m Member, now time.Time) {
 	r.Member = m
 	r.since = now
 	if m.ended() {
-		r.watched = false
+		r.successor, r.linked = false, false
 	}
 }
 
-func (r *record) watch(now time.Time) {
-	if r.watched || r.ended() {
-		return
+// setSuccessor begins or ends the watch of a ring successor.
+func (r *record) setSuccessor(successor bool, now time.Time) {
+	if successor && !r.watched() {
+		r.silent, r.limit = now, SuspectAfter
 	}
-	r.watched, r.silent, r.limit = true, now, SuspectAfter
+	r.successor = successor
 }
 
 func (r *record) restartTimers(now time.Time) {
@@ -73,14 +76,14 @@
 // leaving member owns no slots and is declared dead without the suspected
 // state, in which it would own slots again.
 func (t *Table) checkSilence(now time.Time) []Member {
+	successors := make(map[Name]bool)
 	for _, m := range t.view.Load().Successors() {
-		if r, ok := t.records[m.Name]; ok {
-			r.watch(now)
-		}
+		successors[m.Name] = true
 	}
 	var changed []Member
 	for _, r := range t.records {
-		if !r.watched {
+		r.setSuccessor(successors[r.Name], now)
+		if !r.watched() {
 			continue
 		}
 		switch silence := now.Sub(r.silent); {
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -178,6 +178,37 @@
 	})
 }
 
+// Guards against suspicions of a member that was a ring successor until others
+// joined, and to which no link was ever opened.
+func TestFormerSuccessorIsNotSuspected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTestTable(t, "a", "z1", false)
+		run(t, table)
+		names := []Name{"b", "c", "d", "e", "f", "g"}
+		slices.SortFunc(names, compareRing)
+		farthest := 0
+		for farthest < len(names) && compareRing(names[farthest], "a") < 0 {
+			farthest++
+		}
+		last := names[(farthest+len(names)-1)%len(names)]
+		table.Apply("x", []Member{testMember(last, "z1")})
+		time.Sleep(SuspectAfter / 2)
+		for _, n := range names {
+			table.Apply("x", []Member{testMember(n, "z1")})
+		}
+		for range 20 {
+			for _, n := range names {
+				if n != last {
+					table.Heard(n, 0)
+				}
+			}
+			time.Sleep(HeartbeatInterval)
+		}
+		is.Equal(state(table, last), Alive)
+	})
+}
+
 // Guards against two VMs with one name that outbid each other without limit.
 func TestRefutationsAreLimited(t *testing.T) {
 	is := is.New(t)
--- a/internal/member/update.go
+++ b/internal/member/update.go
@@ -106,9 +106,8 @@
 	t.mu.Lock()
 	t.standing.lastHeard = now
 	if r, ok := t.records[from]; ok {
-		r.heard = now
-		r.watch(now)
-		r.silent, r.limit = now, SuspectAfter
+		r.linked = !r.ended()
+		r.heard, r.silent, r.limit = now, now, SuspectAfter
 	}
 	if !t.standing.held && acked >= t.self.Incarnation {
 		t.regainStanding("acknowledged by " + string(from))
@@ -124,7 +123,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r, ok := t.records[peer]; ok {
-		r.watched = false
+		r.linked = false
 	}
 }
 
