--- a/standin/site/changes.go
+++ b/standin/site/changes.go
@@ -10,23 +10,23 @@
 	"knapweedshore.example/peerapi"
 )
 
-// fate is what became of a balancer.
-type fate string
+// state is where a balancer is between its start and its end.
+type state string
 
 const (
-	running fate = "running"
-	leaving fate = "leaving"
-	left    fate = "left"
-	killed  fate = "killed"
-	joined  fate = "joined"
+	running state = "running"
+	leaving state = "leaving"
+	left    state = "left"
+	killed  state = "killed"
+	joined  state = "joined"
 )
 
-// lifetime is one balancer from its start to its end. last is its status when
+// instance is one balancer from its start to its end. last is its status when
 // it ended.
-type lifetime struct {
+type instance struct {
 	vm       VM
 	balancer Balancer
-	fate     fate
+	state    state
 	last     *peerapi.StatusResponse
 }
 
@@ -76,7 +76,7 @@
 func (r *run) drain(ctx context.Context) error {
 	service := r.config.Site.Services[int(r.config.Seed)%len(r.config.Site.Services)]
 	name := service.Servers[0].Name
-	server, err := r.world.server(service.Name, name)
+	server, err := r.environment.server(service.Name, name)
 	if err != nil {
 		return err
 	}
@@ -85,7 +85,7 @@
 	}
 	server.Drain()
 	r.note(func(c *changeTimes) { c.drained, c.drainedPool, c.drainedServer = time.Now(), service.Name, name })
-	r.say("server %q of pool %q drains", name, service.Name)
+	r.report("server %q of pool %q drains", name, service.Name)
 	return nil
 }
 
@@ -93,20 +93,20 @@
 func (r *run) leave(ctx context.Context) {
 	m := r.member(0)
 	r.note(func(c *changeTimes) { c.leaveBegan = time.Now() })
-	r.setFate(m, leaving)
-	r.say("balancer %q leaves", m.vm.Name)
-	stop := time.AfterFunc(fabricLag, func() { r.world.fabric.RemoveBalancer(m.balancer.DataAddress()) })
+	r.setState(m, leaving)
+	r.report("balancer %q leaves", m.vm.Name)
+	stop := time.AfterFunc(fabricLag, func() { r.environment.fabric.RemoveBalancer(m.balancer.DataAddress()) })
 	err := m.balancer.Leave(ctx)
 	if stop.Stop() {
-		r.world.fabric.RemoveBalancer(m.balancer.DataAddress())
+		r.environment.fabric.RemoveBalancer(m.balancer.DataAddress())
 	}
 	r.note(func(c *changeTimes) { c.leaveEnded, c.leaveErr = time.Now(), err })
 	if err != nil {
-		r.say("balancer %q did not leave in order: %v", m.vm.Name, err)
+		r.report("balancer %q did not leave in order: %v", m.vm.Name, err)
 		return
 	}
-	r.setFate(m, left)
-	r.say("balancer %q has left", m.vm.Name)
+	r.setState(m, left)
+	r.report("balancer %q has left", m.vm.Name)
 }
 
 func (r *run) join(ctx context.Context) error {
@@ -120,26 +120,26 @@
 	if err := waitReady(ctx, vm.Name, m.balancer, len(r.config.Site.VMs)); err != nil {
 		return errors.Wrap(err, "join")
 	}
-	r.setFate(m, joined)
-	r.world.fabric.AddBalancer(m.balancer.DataAddress(), vm.Zone)
+	r.setState(m, joined)
+	r.environment.fabric.AddBalancer(m.balancer.DataAddress(), vm.Zone)
 	r.note(func(c *changeTimes) { c.joined = time.Now() })
-	r.say("balancer %q has joined", vm.Name)
+	r.report("balancer %q has joined", vm.Name)
 	return nil
 }
 
 // kill crashes the second balancer. The fabric notices it late.
 func (r *run) kill(ctx context.Context) error {
 	m := r.member(1)
-	r.setFate(m, killed)
+	r.setState(m, killed)
 	r.note(func(c *changeTimes) { c.killed = time.Now() })
 	m.balancer.Kill()
-	r.say("balancer %q was killed", m.vm.Name)
+	r.report("balancer %q was killed", m.vm.Name)
 	sleepUntil(ctx, time.Now().Add(fabricLag))
-	r.world.fabric.RemoveBalancer(m.balancer.DataAddress())
+	r.environment.fabric.RemoveBalancer(m.balancer.DataAddress())
 	return nil
 }
 
-func (r *run) member(i int) *lifetime {
+func (r *run) member(i int) *instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.members[i]
@@ -151,9 +151,9 @@
 	f(&r.changes)
 }
 
-func (r *run) setFate(m *lifetime, f fate) {
+func (r *run) setState(m *instance, f state) {
 	status := m.balancer.Status()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m.fate, m.last = f, status
+	m.state, m.last = f, status
 }
--- a/standin/site/judge.go
+++ b/standin/site/check.go
@@ -32,64 +32,64 @@
 	WorkAfterDrain fabric.Kind = "work_after_drain"
 )
 
-// judge checks the promises that show in the results of flows and in the
+// checker checks the promises that show in the results of flows and in the
 // servers' records.
-type judge struct {
+type checker struct {
 	changes    changeTimes
 	executions *backend.Executions
 	violations []fabric.Violation
 }
 
-func (j *judge) violate(p fabric.Promise, k fabric.Kind, flow string, at time.Time, format string, args ...any) {
-	j.violations = append(j.violations, fabric.Violation{
+func (c *checker) violate(p fabric.Promise, k fabric.Kind, flow string, at time.Time, format string, args ...any) {
+	c.violations = append(c.violations, fabric.Violation{
 		Promise: p, Kind: k, Flow: flow, At: at, Detail: fmt.Sprintf(format, args...),
 	})
 }
 
 // flow checks one result.
-func (j *judge) flow(r flowResult) {
+func (c *checker) flow(r flowResult) {
 	name := fmt.Sprintf("%s from %s", r.service, r.Caller)
 	switch r.Outcome {
 	case caller.Broken:
-		j.brokenFlow(name, r)
+		c.brokenFlow(name, r)
 	case caller.Refused:
-		j.refusedFlow(name, r)
+		c.refusedFlow(name, r)
 	}
 	for i := range r.Latencies {
 		request := r.Requests[i]
-		if request.Operation == backend.Confirm && j.executions.Count(request.ID) == 0 {
-			j.violate(fabric.P3, ConfirmedWithoutExecution, name, r.Ended, "confirmation %q", request.ID)
+		if request.Operation == backend.Confirm && c.executions.Count(request.ID) == 0 {
+			c.violate(fabric.P3, ConfirmedWithoutExecution, name, r.Ended, "confirmation %q", request.ID)
 		}
 	}
 }
 
-func (j *judge) brokenFlow(name string, r flowResult) {
+func (c *checker) brokenFlow(name string, r flowResult) {
 	switch {
 	case r.Reason == caller.WrongHash || r.Reason == caller.WrongAnswer || r.Reason == caller.LateData:
-		j.violate(fabric.P3, WrongResponse, name, r.Ended, "%v", r.Err)
-	case j.byCrash(r):
-	case !j.changes.leaveBegan.IsZero() && overlaps(r, j.changes.leaveBegan, j.leaveEnd()):
-		j.violate(fabric.P7, BrokenByLeave, name, r.Ended, "%s: %v", r.Reason, r.Err)
+		c.violate(fabric.P3, WrongResponse, name, r.Ended, "%v", r.Err)
+	case c.byCrash(r):
+	case !c.changes.leaveBegan.IsZero() && overlaps(r, c.changes.leaveBegan, c.leaveEnd()):
+		c.violate(fabric.P7, BrokenByLeave, name, r.Ended, "%s: %v", r.Reason, r.Err)
 	default:
-		j.violate(fabric.P1, BrokenFlow, name, r.Ended, "%s: %v", r.Reason, r.Err)
+		c.violate(fabric.P1, BrokenFlow, name, r.Ended, "%s: %v", r.Reason, r.Err)
 	}
 }
 
 // byCrash reports whether the crash can have broken the flow.
-func (j *judge) byCrash(r flowResult) bool {
-	return !j.changes.killed.IsZero() && overlaps(r, j.changes.killed, j.changes.killed.Add(crashEffect))
+func (c *checker) byCrash(r flowResult) bool {
+	return !c.changes.killed.IsZero() && overlaps(r, c.changes.killed, c.changes.killed.Add(crashEffect))
 }
 
-func (j *judge) crashEffectAt(t time.Time) bool {
-	k := j.changes.killed
+func (c *checker) crashEffectAt(t time.Time) bool {
+	k := c.changes.killed
 	return !k.IsZero() && !t.Before(k) && t.Before(k.Add(crashEffect))
 }
 
-func (j *judge) leaveEnd() time.Time {
-	if j.changes.leaveEnded.IsZero() {
+func (c *checker) leaveEnd() time.Time {
+	if c.changes.leaveEnded.IsZero() {
 		return time.Now()
 	}
-	return j.changes.leaveEnded
+	return c.changes.leaveEnded
 }
 
 func overlaps(r flowResult, from, to time.Time) bool {
@@ -98,23 +98,23 @@
 
 // refusedFlow checks that the request whose refusal ended the flow was not
 // executed. Those before it had their responses.
-func (j *judge) refusedFlow(name string, r flowResult) {
+func (c *checker) refusedFlow(name string, r flowResult) {
 	for _, request := range r.Requests[len(r.Latencies):] {
-		if request.Operation == backend.Confirm && j.executions.Count(request.ID) > 0 {
-			j.violate(fabric.P4, RefusedButExecuted, name, r.Ended, "confirmation %q", request.ID)
+		if request.Operation == backend.Confirm && c.executions.Count(request.ID) > 0 {
+			c.violate(fabric.P4, RefusedButExecuted, name, r.Ended, "confirmation %q", request.ID)
 		}
 	}
 }
 
 // servers checks what the servers recorded.
-func (j *judge) servers(stats map[string]map[string]backend.Stats) {
-	for _, id := range j.executions.Repeated() {
-		j.violate(fabric.P5, RepeatedExecution, "", time.Now(), "confirmation %q: %d executions", id, j.executions.Count(id))
+func (c *checker) servers(stats map[string]map[string]backend.Stats) {
+	for _, id := range c.executions.Repeated() {
+		c.violate(fabric.P5, RepeatedExecution, "", time.Now(), "confirmation %q: %d executions", id, c.executions.Count(id))
 	}
 	for pool, servers := range stats {
 		for name, s := range servers {
 			if s.NewAfterDrain > 0 {
-				j.violate(fabric.P6, WorkAfterDrain, "", time.Now(), "server %q of pool %q: %d new flows", name, pool, s.NewAfterDrain)
+				c.violate(fabric.P6, WorkAfterDrain, "", time.Now(), "server %q of pool %q: %d new flows", name, pool, s.NewAfterDrain)
 			}
 		}
 	}
--- a/standin/site/report.go
+++ b/standin/site/report.go
@@ -99,7 +99,7 @@
 func (s *Summary) writeBalancers(b *strings.Builder) {
 	for _, m := range s.Balancers {
 		fmt.Fprintf(b, "balancer %s (%s, capacity %d, %s): %d packets in, %d out, %d forwarded, control %.0f B/s\n",
-			m.Name, m.Zone, m.Capacity, m.Fate, m.Packets.Sent, m.Packets.Received, m.Forwarded, m.ControlBytesPerSec)
+			m.Name, m.Zone, m.Capacity, m.State, m.Packets.Sent, m.Packets.Received, m.Forwarded, m.ControlBytesPerSec)
 	}
 	if s.LeaveError != "" {
 		fmt.Fprintf(b, "leave failed: %s\n", s.LeaveError)
--- a/standin/site/run.go
+++ b/standin/site/run.go
@@ -44,14 +44,14 @@
 
 // run is one run of a site.
 type run struct {
-	config   Config
-	platform Platform
-	world    *world
-	progress func(line string)
-	started  time.Time
+	config      Config
+	platform    Platform
+	environment *environment
+	progress    func(line string)
+	started     time.Time
 
 	mu       sync.Mutex
-	members  []*lifetime
+	members  []*instance
 	results  []flowResult
 	skipped  int
 	changes  changeTimes
@@ -99,7 +99,7 @@
 		r.platform = daemons
 	}
 	var err error
-	if r.world, err = newWorld(c.Site, c.Seed); err != nil {
+	if r.environment, err = newEnvironment(c.Site, c.Seed); err != nil {
 		r.platform.Close()
 		return nil, err
 	}
@@ -108,10 +108,10 @@
 
 func (r *run) close() {
 	r.platform.Close()
-	r.world.close()
+	r.environment.close()
 }
 
-func (r *run) say(format string, args ...any) {
+func (r *run) report(format string, args ...any) {
 	at := time.Duration(0)
 	if !r.started.IsZero() {
 		at = time.Since(r.started)
@@ -133,18 +133,18 @@
 		if err := waitReady(ctx, m.vm.Name, m.balancer, len(r.members)); err != nil {
 			return err
 		}
-		r.world.fabric.AddBalancer(m.balancer.DataAddress(), m.vm.Zone)
+		r.environment.fabric.AddBalancer(m.balancer.DataAddress(), m.vm.Zone)
 	}
-	r.say("site %q is ready: %d balancers, %d services", r.config.Site.Name, len(r.members), len(r.config.Site.Services))
+	r.report("site %q is ready: %d balancers, %d services", r.config.Site.Name, len(r.members), len(r.config.Site.Services))
 	return nil
 }
 
-func (r *run) startBalancer(ctx context.Context, vm VM) (*lifetime, error) {
-	b, err := r.platform.StartBalancer(ctx, vm, r.world.fabric.Addr())
+func (r *run) startBalancer(ctx context.Context, vm VM) (*instance, error) {
+	b, err := r.platform.StartBalancer(ctx, vm, r.environment.fabric.Addr())
 	if err != nil {
 		return nil, err
 	}
-	m := &lifetime{vm: vm, balancer: b, fate: running}
+	m := &instance{vm: vm, balancer: b, state: running}
 	r.mu.Lock()
 	r.members = append(r.members, m)
 	r.mu.Unlock()
@@ -163,11 +163,11 @@
 	changes.Go(func() { failed = r.change(ctx) })
 	changes.Go(func() { r.measure(ctx) })
 	r.openFlows(ctx, &flows)
-	r.say("no more flows are opened")
+	r.report("no more flows are opened")
 	timer := time.AfterFunc(finishTime, cancel)
 	flows.Wait()
 	timer.Stop()
-	r.say("all flows have ended")
+	r.report("all flows have ended")
 	changes.Wait()
 	return failed
 }
@@ -192,7 +192,7 @@
 
 func (r *run) serverStats() map[string]map[string]backend.Stats {
 	stats := make(map[string]map[string]backend.Stats)
-	for pool, servers := range r.world.servers {
+	for pool, servers := range r.environment.servers {
 		stats[pool] = make(map[string]backend.Stats)
 		for name, s := range servers {
 			stats[pool][name] = s.Stats()
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -86,8 +86,8 @@
 	return s
 }
 
-// calm is the dev site with a load that a busy machine carries too.
-func calm() Description {
+// lightlyLoaded is the dev site with a load that a busy machine carries too.
+func lightlyLoaded() Description {
 	d := Dev()
 	for i := range d.Services {
 		d.Services[i].FlowsPerSecond /= 4
@@ -101,7 +101,7 @@
 func TestRunReportsExactlyTheIgnoredDrain(t *testing.T) {
 	is := is.New(t)
 	platform := &fakePlatform{t: t}
-	s, err := Run(t.Context(), Config{Site: calm(), Seed: 1, Duration: 7 * time.Second, Platform: platform}, func(line string) { t.Log(line) })
+	s, err := Run(t.Context(), Config{Site: lightlyLoaded(), Seed: 1, Duration: 7 * time.Second, Platform: platform}, func(line string) { t.Log(line) })
 	is.NoErr(err)
 	t.Log(s)
 	is.True(s.Flows.Opened > 50)
@@ -110,9 +110,9 @@
 	is.Equal(s.ViolationCount, 1)
 	is.Equal(s.Violations[0].Kind, WorkAfterDrain)
 	is.Equal(s.Packets.SecondHop, int64(0))
-	is.Equal(s.Balancers[0].Fate, "left")
+	is.Equal(s.Balancers[0].State, "left")
 	is.Equal(s.Balancers[0].ControlBytesPerSec, 500.0)
-	is.Equal(s.Balancers[1].Fate, "killed")
+	is.Equal(s.Balancers[1].State, "killed")
 	for _, p := range s.Pools {
 		is.True(p.Imbalance > 1)
 	}
@@ -129,7 +129,7 @@
 // no flow and no promise.
 func TestDaemonsAtRest(t *testing.T) {
 	is := is.New(t)
-	s, err := Run(t.Context(), Config{Site: calm(), Seed: 2, Duration: 3 * time.Second, Still: true}, func(line string) { t.Log(line) })
+	s, err := Run(t.Context(), Config{Site: lightlyLoaded(), Seed: 2, Duration: 3 * time.Second, Still: true}, func(line string) { t.Log(line) })
 	is.NoErr(err)
 	t.Log(s)
 	is.Equal(s.Flows.Completed, s.Flows.Opened)
@@ -141,7 +141,7 @@
 }
 
 // Guards against results that are blamed on the wrong change, or on none.
-func TestJudgeFindsTheBrokenPromise(t *testing.T) {
+func TestCheckerFindsTheBrokenPromise(t *testing.T) {
 	start := time.Now()
 	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
 	changes := changeTimes{leaveBegan: at(10), leaveEnded: at(20), killed: at(30)}
@@ -164,14 +164,14 @@
 		"executed twice":         {caller.Result{Outcome: caller.Completed, Requests: confirm, Latencies: answered}, 2, RepeatedExecution},
 	} {
 		t.Run(name, func(t *testing.T) {
-			j := &judge{changes: changes, executions: backend.NewExecutions()}
+			k := &checker{changes: changes, executions: backend.NewExecutions()}
 			for range c.executions {
-				j.executions.Add("c")
+				k.executions.Add("c")
 			}
-			j.flow(flowResult{service: "desk", Result: c.result})
-			j.servers(nil)
+			k.flow(flowResult{service: "desk", Result: c.result})
+			k.servers(nil)
 			var got fabric.Kind
-			for _, v := range j.violations {
+			for _, v := range k.violations {
 				got += v.Kind
 			}
 			is.New(t).Equal(got, c.want)
--- a/standin/site/summary.go
+++ b/standin/site/summary.go
@@ -87,7 +87,7 @@
 	Name     string               `json:"name"`
 	Zone     string               `json:"zone"`
 	Capacity uint32               `json:"capacity"`
-	Fate     string               `json:"fate"`
+	State    string               `json:"state"`
 	Packets  fabric.BalancerCount `json:"packets"`
 	// Forwarded counts packets that it sent to another balancer.
 	Forwarded          int64   `json:"forwarded"`
@@ -102,7 +102,7 @@
 	defer r.mu.Unlock()
 	s := &Summary{
 		Site: r.config.Site.Name, Seed: r.config.Seed, Services: make(map[string]Flows),
-		Packets: r.world.fabric.Counts(), Refusals: make(map[string]int64),
+		Packets: r.environment.fabric.Counts(), Refusals: make(map[string]int64),
 	}
 	if s.Packets.FromBalancers > 0 {
 		s.SecondHopShare = float64(s.Packets.SecondHop) / float64(s.Packets.FromBalancers)
@@ -110,7 +110,7 @@
 	if r.changes.leaveErr != nil {
 		s.LeaveError = r.changes.leaveErr.Error()
 	}
-	r.judge(s)
+	r.check(s)
 	for _, service := range r.config.Site.Services {
 		s.Pools = append(s.Pools, r.pool(service))
 	}
@@ -120,13 +120,13 @@
 	return s
 }
 
-// judge counts the flows and lists the violations.
-func (r *run) judge(s *Summary) {
-	j := &judge{changes: r.changes, executions: r.world.executions}
+// check counts the flows and lists the violations.
+func (r *run) check(s *Summary) {
+	c := &checker{changes: r.changes, executions: r.environment.executions}
 	s.Flows.Skipped = r.skipped
 	for _, result := range r.results {
-		j.flow(result)
-		byCrash := j.byCrash(result)
+		c.flow(result)
+		byCrash := c.byCrash(result)
 		service := s.Services[result.service]
 		service.add(result, byCrash, r.changes.killed)
 		s.Services[result.service] = service
@@ -137,12 +137,12 @@
 		s.Services[name] = f
 	}
 	s.Flows.setPercentiles()
-	j.servers(r.serverStats())
-	seen, count := r.world.fabric.Ledger().Violations()
-	s.Violations = append(j.violations, seen...)
-	s.ViolationCount = len(j.violations) + count
+	c.servers(r.serverStats())
+	seen, count := r.environment.fabric.Ledger().Violations()
+	s.Violations = append(c.violations, seen...)
+	s.ViolationCount = len(c.violations) + count
 	for _, v := range s.Violations {
-		if j.crashEffectAt(v.At) {
+		if c.crashEffectAt(v.At) {
 			s.AfterCrash++
 		}
 	}
@@ -214,14 +214,14 @@
 
 // balancer reads the newest status; a dead balancer's is the one before its
 // end.
-func (r *run) balancer(m *lifetime, refusals map[string]int64) BalancerSummary {
+func (r *run) balancer(m *instance, refusals map[string]int64) BalancerSummary {
 	status := m.last
-	if m.fate == running || m.fate == joined || m.fate == leaving {
+	if m.state == running || m.state == joined || m.state == leaving {
 		status = m.balancer.Status()
 	}
 	b := BalancerSummary{
-		Name: m.vm.Name, Zone: m.vm.Zone, Capacity: m.vm.Capacity, Fate: string(m.fate),
-		Packets: r.world.fabric.BalancerCounts()[m.balancer.DataAddress()], Forwarded: counter(status, forwardedCounter),
+		Name: m.vm.Name, Zone: m.vm.Zone, Capacity: m.vm.Capacity, State: string(m.state),
+		Packets: r.environment.fabric.BalancerCounts()[m.balancer.DataAddress()], Forwarded: counter(status, forwardedCounter),
 	}
 	if up := float64(status.GetUptimeMs()) / 1000; up > 0 {
 		b.ControlBytesPerSec = float64(status.GetControlBytesSent()) / up
--- a/standin/site/workload.go
+++ b/standin/site/workload.go
@@ -53,9 +53,9 @@
 
 // prepare draws the next flow and returns the function that runs it.
 func (r *run) prepare(p *planner) func(ctx context.Context) caller.Result {
-	f, from := p.flow(), r.world.callers[p.rng.IntN(len(r.world.callers))]
+	f, from := p.flow(), r.environment.callers[p.rng.IntN(len(r.environment.callers))]
 	if p.service.Protocol == tables.UDP {
-		c := &caller.HTTP{Host: from, Service: p.service.Address, TLS: r.world.identity.Client, Pause: f.pause}
+		c := &caller.HTTP{Host: from, Service: p.service.Address, TLS: r.environment.identity.Client, Pause: f.pause}
 		return func(ctx context.Context) caller.Result { return c.Run(ctx, f.requests...) }
 	}
 	c := &caller.TCP{Host: from, Service: p.service.Address}
