Refuse a delta that belongs to another history of the tables

A store restored from a backup counts the same version numbers again, so a daemon applied deltas of the new history to tables of the old one. ApplyAll is exported for daemons that apply many deltas. Reservations carry the id of the entry they replace, which the packet path needs to find a removed server by id.

--- a/internal/edit/edit.go
+++ b/internal/edit/edit.go
@@ -125,9 +125,16 @@
 	return r
 }
 
+// delta returns the change on top of state. Its time is not before that of the
+// last change, because the reservations of an operator whose clock is behind
+// would end too early.
 func (w *write) delta(state *State) tables.Delta {
-	return tables.Delta{Version: state.Snapshot.Version() + 1, WriteID: w.id, Author: w.author,
-		Time: time.Now(), Operations: w.operations}
+	now := time.Now()
+	if n := len(state.Head.Deltas); n > 0 && state.Head.Deltas[n-1].Time.After(now) {
+		now = state.Head.Deltas[n-1].Time
+	}
+	return tables.Delta{Version: state.Snapshot.Version() + 1, WriteID: w.id, Previous: state.Snapshot.WriteID(),
+		Author: w.author, Time: now, Operations: w.operations}
 }
 
 // run swaps the head, rebasing on what others wrote meanwhile.
--- a/internal/edit/state.go
+++ b/internal/edit/state.go
@@ -34,6 +34,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "replay head")
 	}
+	if !head.SameHistory(snapshot) {
+		return nil, errors.Errorf("base %d does not belong to the head", head.Base)
+	}
 	return &State{Head: head, Snapshot: snapshot, base: base, revision: revision}, nil
 }
 
--- a/internal/store/http_test.go
+++ b/internal/store/http_test.go
@@ -36,7 +36,7 @@
 // service meant, in particular a write that is wrongly taken for failed.
 func TestHTTPErrors(t *testing.T) {
 	is := is.New(t)
-	p, server, client := overHTTP(t, standin.Options{WatchWait: 10 * time.Millisecond, WritesPerSecond: 5})
+	p, server, client := overHTTP(t, standin.Options{WatchWait: 10 * time.Millisecond})
 	ctx := t.Context()
 	const key = "knapweedshore/tables/head"
 
@@ -70,9 +70,8 @@
 
 	_, err = client.Swap(ctx, key, bytes.Repeat([]byte("x"), store.MaxValueSize+1), v.Revision)
 	is.True(err != nil)
-	for err = nil; err == nil; {
-		v.Revision, err = client.Swap(ctx, key, []byte("d"), v.Revision)
-	}
+	p.SetThrottled(true)
+	_, err = client.Swap(ctx, key, []byte("d"), v.Revision)
 	is.True(errors.Is(err, store.ErrThrottled))
 
 	is.NoErr(server.Close())
--- a/internal/tables/apply.go
+++ b/internal/tables/apply.go
@@ -7,17 +7,17 @@
 )
 
 // Apply returns the next state of the tables. It applies the whole delta or,
-// with an error, nothing; s is unchanged. The error is a *VersionError or an
-// *InvalidError.
+// with an error, nothing; s is unchanged. The error is a *VersionError, a
+// *HistoryError or an *InvalidError.
 func (s *Snapshot) Apply(d Delta) (*Snapshot, error) {
-	return s.applyAll([]Delta{d})
+	return s.ApplyAll([]Delta{d})
 }
 
-// applyAll applies deltas in order. Rules that do not depend on time are
-// checked only for the last state, because each delta was checked alone before
-// it was written. Indexing and validating every state would take seconds for a
-// full head at the target size.
-func (s *Snapshot) applyAll(deltas []Delta) (*Snapshot, error) {
+// ApplyAll applies all deltas in order or, with an error, none. Rules that do
+// not depend on time are checked only for the last state, because each delta
+// was checked alone before it was written. Indexing and validating every state
+// would take seconds for a full head at the target size.
+func (s *Snapshot) ApplyAll(deltas []Delta) (*Snapshot, error) {
 	if len(deltas) == 0 {
 		return s, nil
 	}
@@ -41,6 +41,7 @@
 // operation touches keep sharing their servers with the old snapshot.
 type draft struct {
 	version      Version
+	writeID      WriteID
 	nextID       uint32
 	routes       map[string]Route
 	pools        map[string]Pool
@@ -57,6 +58,7 @@
 func newDraft(s *Snapshot) *draft {
 	d := &draft{
 		version:      s.version,
+		writeID:      s.writeID,
 		nextID:       s.nextID,
 		routes:       make(map[string]Route, len(s.routes)),
 		pools:        make(map[string]Pool, len(s.pools)),
@@ -80,11 +82,14 @@
 	if delta.Version != d.version+1 {
 		return &VersionError{Current: d.version, Delta: delta.Version}
 	}
+	if delta.Previous != "" && d.writeID != "" && delta.Previous != d.writeID {
+		return &HistoryError{Version: d.version, Have: d.writeID, Want: delta.Previous}
+	}
 	delta.Time = roundTime(delta.Time)
 	if p := delta.check(); len(p) > 0 {
 		return p.err()
 	}
-	d.version++
+	d.version, d.writeID = delta.Version, delta.WriteID
 	d.oldRoutes, d.oldPools = make(map[string]Route), make(map[string]Pool)
 	d.seen = make(map[Entry]bool)
 	for _, op := range delta.Operations {
@@ -134,7 +139,7 @@
 		return holder{}, false
 	}
 	if was.ID != 0 {
-		d.reserve(was.Address, was.Name, now)
+		d.reserve(was.Address, uint32(was.ID), was.Name, now)
 	}
 	if _, exists := d.routes[name]; !exists {
 		return holder{}, false
@@ -167,7 +172,7 @@
 	}
 	for _, srv := range d.oldPools[name].Servers {
 		if !kept[srv.ID] {
-			d.reserve(Address{AddrPort: srv.Endpoint}, serverOwner(name, srv.Name), now)
+			d.reserve(Address{AddrPort: srv.Endpoint}, uint32(srv.ID), serverOwner(name, srv.Name), now)
 		}
 	}
 	return taken
@@ -181,7 +186,7 @@
 
 // snapshot returns the state with its indexes, not validated.
 func (d *draft) snapshot() *Snapshot {
-	s := &Snapshot{version: d.version, nextID: d.nextID}
+	s := &Snapshot{version: d.version, writeID: d.writeID, nextID: d.nextID}
 	s.routes = slices.Collect(maps.Values(d.routes))
 	s.pools = slices.Collect(maps.Values(d.pools))
 	s.reservations = slices.Collect(maps.Values(d.reservations))
--- a/internal/tables/apply_test.go
+++ b/internal/tables/apply_test.go
@@ -167,6 +167,26 @@
 	is.True(!used)
 }
 
+// Guards against a delta of another history with the same version numbers, as
+// after the store was restored from a backup, and against a daemon that takes
+// such a head for its own.
+func TestDeltaOfAnotherHistory(t *testing.T) {
+	is := is.New(t)
+	first, other := twoServices(t), twoServices(t) // both version 1, different writes
+	d := delta(other, testTime, DeleteRoute{"mapas"})
+	d.Previous = other.WriteID()
+	_, err := first.Apply(d)
+	_, ok := errors.Into[*HistoryError](err)
+	is.True(ok)
+	decoded, err := Decode(other.Encode())
+	is.NoErr(err)
+	_, err = decoded.Apply(d)
+	is.NoErr(err)
+	h := &Head{Version: 1, WriteIDs: []WriteID{other.WriteID()}}
+	is.True(h.SameHistory(other))
+	is.True(!h.SameHistory(first))
+}
+
 // Guards against a delta that is applied twice or out of order: versions
 // never regress and never skip.
 func TestApplyNeedsNextVersion(t *testing.T) {
--- a/internal/tables/delta.go
+++ b/internal/tables/delta.go
@@ -27,6 +27,9 @@
 type Delta struct {
 	Version Version
 	WriteID WriteID
+	// Previous is the write id of Version-1. It keeps a delta from being
+	// applied to another history of the tables with the same version numbers.
+	Previous WriteID
 	// Author is who made the change, for the history.
 	Author string
 	// Time is when the change was made, in milliseconds and UTC. Reservations
@@ -39,6 +42,7 @@
 type deltaJSON struct {
 	Version    Version    `json:"version"`
 	WriteID    WriteID    `json:"write_id"`
+	Previous   WriteID    `json:"previous,omitempty"`
 	Author     string     `json:"author,omitempty"`
 	Time       time.Time  `json:"time"`
 	Operations []envelope `json:"operations"`
@@ -46,7 +50,7 @@
 
 // MarshalJSON implements json.Marshaler.
 func (d Delta) MarshalJSON() ([]byte, error) {
-	j := deltaJSON{Version: d.Version, WriteID: d.WriteID, Author: d.Author, Time: roundTime(d.Time)}
+	j := deltaJSON{Version: d.Version, WriteID: d.WriteID, Previous: d.Previous, Author: d.Author, Time: roundTime(d.Time)}
 	j.Operations = make([]envelope, len(d.Operations))
 	for i, op := range d.Operations {
 		j.Operations[i] = pack(op)
@@ -60,7 +64,7 @@
 	if err := json.Unmarshal(data, &j); err != nil {
 		return err
 	}
-	out := Delta{Version: j.Version, WriteID: j.WriteID, Author: j.Author, Time: roundTime(j.Time)}
+	out := Delta{Version: j.Version, WriteID: j.WriteID, Previous: j.Previous, Author: j.Author, Time: roundTime(j.Time)}
 	out.Operations = make([]Operation, len(j.Operations))
 	for i, e := range j.Operations {
 		op, err := e.unpack()
@@ -112,6 +116,9 @@
 	if d.WriteID == "" || len(d.WriteID) > maxWriteIDLength {
 		p.add(e, RuleDelta, "write id has %d bytes, want 1 to %d", len(d.WriteID), maxWriteIDLength)
 	}
+	if len(d.Previous) > maxWriteIDLength {
+		p.add(e, RuleDelta, "previous write id has %d bytes, want at most %d", len(d.Previous), maxWriteIDLength)
+	}
 	if len(d.Author) > maxAuthorLength {
 		p.add(e, RuleDelta, "author has %d bytes, want at most %d", len(d.Author), maxAuthorLength)
 	}
--- a/internal/tables/errors.go
+++ b/internal/tables/errors.go
@@ -126,6 +126,21 @@
 // Otherwise deltas in between are missing.
 func (e *VersionError) NotNewer() bool { return e.Delta <= e.Current }
 
+// HistoryError is returned when a delta was made on other tables that had the
+// same version, as after the store was restored from a backup.
+type HistoryError struct {
+	// Version is the one before the delta, Have its write id in the snapshot
+	// and Want its write id in the history of the delta.
+	Version    Version
+	Have, Want WriteID
+}
+
+// Error implements error.
+func (e *HistoryError) Error() string {
+	return fmt.Sprintf("delta belongs to another history: version %d was made by write %q there and by %q here",
+		e.Version, e.Want, e.Have)
+}
+
 // problems collects validation errors.
 type problems []*ValidationError
 
--- a/internal/tables/head.go
+++ b/internal/tables/head.go
@@ -76,6 +76,16 @@
 	return h.Version - Version(len(h.WriteIDs)-1-i), true
 }
 
+// SameHistory reports whether s is a version of this head's history, as far as
+// the write ids tell.
+func (h *Head) SameHistory(s *Snapshot) bool {
+	back := h.Version - s.version
+	if s.writeID == "" || s.version > h.Version || back >= Version(len(h.WriteIDs)) {
+		return true
+	}
+	return h.WriteIDs[len(h.WriteIDs)-1-int(back)] == s.writeID
+}
+
 // Append returns the head after one more change.
 func (h *Head) Append(d Delta) (*Head, error) {
 	if d.Version != h.Version+1 {
@@ -128,7 +138,7 @@
 	if !ok || v > h.Version || v < base.Version() {
 		return nil, errors.Errorf("no deltas from version %d to %d", base.Version(), v)
 	}
-	next, err := base.applyAll(deltas[:v-base.Version()])
+	next, err := base.ApplyAll(deltas[:v-base.Version()])
 	if err != nil {
 		return nil, errors.Wrapf(err, "replay versions %d to %d", base.Version()+1, v)
 	}
--- a/internal/tables/head_test.go
+++ b/internal/tables/head_test.go
@@ -20,7 +20,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return next, mustApply(t, s, testTime, pool)
+	applied, err := s.Apply(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next, applied
 }
 
 // Guards against a compaction that loses versions, starts too late, or makes
@@ -64,7 +68,7 @@
 			is.NoErr(err)
 			newest, err := h.Replay(base, h.Version)
 			is.NoErr(err)
-			is.Equal(string(newest.Encode()), string(s.Encode()))
+			is.True(string(newest.Encode()) == string(s.Encode()))
 		})
 	}
 }
--- a/internal/tables/reservation.go
+++ b/internal/tables/reservation.go
@@ -16,8 +16,8 @@
 
 // reserve keeps an address that was dropped from being given to another
 // service.
-func (d *draft) reserve(a Address, owner string, now time.Time) {
-	d.reservations[a] = Reservation{Address: a, Owner: owner, Until: now.Add(ReservationPeriod)}
+func (d *draft) reserve(a Address, id uint32, owner string, now time.Time) {
+	d.reservations[a] = Reservation{Address: a, ID: id, Owner: owner, Until: now.Add(ReservationPeriod)}
 }
 
 // take ends the reservations of the address that h now holds, and adds a
--- a/internal/tables/size_test.go
+++ b/internal/tables/size_test.go
@@ -121,7 +121,7 @@
 		name := fmt.Sprint("n", i)
 		s.pools = append(s.pools, Pool{Name: name, Servers: []Server{srv}})
 		s.routes = append(s.routes, Route{ID: RouteID(1<<32 - 2 - i), Name: name, Pool: name, Address: Address{route, TCP}})
-		s.reservations = append(s.reservations, Reservation{Address: Address{route, UDP}, Owner: name, Until: until})
+		s.reservations = append(s.reservations, Reservation{Address: Address{route, UDP}, ID: 1<<32 - 1, Owner: name, Until: until})
 	}
 	is.True(s.sizeBound() >= len(s.Encode()))
 	is.True(s.sizeBound() < 2*len(s.Encode()))
--- a/internal/tables/snapshot.go
+++ b/internal/tables/snapshot.go
@@ -24,6 +24,7 @@
 // snapshotJSON is the JSON form of a Snapshot.
 type snapshotJSON struct {
 	Version      Version       `json:"version"`
+	WriteID      WriteID       `json:"write_id,omitempty"`
 	NextID       uint32        `json:"next_id"`
 	Routes       []Route       `json:"routes"`
 	Pools        []Pool        `json:"pools"`
@@ -38,7 +39,7 @@
 }
 
 func newSnapshot(j snapshotJSON) (*Snapshot, error) {
-	s := &Snapshot{version: j.Version, nextID: max(j.NextID, 1)}
+	s := &Snapshot{version: j.Version, writeID: j.WriteID, nextID: max(j.NextID, 1)}
 	s.routes = slices.Clone(j.Routes)
 	s.pools = slices.Clone(j.Pools)
 	for i := range s.pools {
@@ -64,7 +65,7 @@
 
 // Encode returns the JSON form, which the store and the peer messages share.
 func (s *Snapshot) Encode() []byte {
-	j := snapshotJSON{Version: s.version, NextID: s.nextID, Reservations: s.reservations}
+	j := snapshotJSON{Version: s.version, WriteID: s.writeID, NextID: s.nextID, Reservations: s.reservations}
 	j.Routes = append([]Route{}, s.routes...) // never null: equal tables have equal bytes
 	j.Pools = make([]Pool, len(s.pools))
 	for i, p := range s.pools {
--- a/internal/tables/tables.go
+++ b/internal/tables/tables.go
@@ -123,6 +123,7 @@
 // NewSnapshot or Apply. Lookups use indexes built once.
 type Snapshot struct {
 	version      Version
+	writeID      WriteID       // of the change that made this version
 	routes       []Route       // sorted by name
 	pools        []Pool        // sorted by name
 	reservations []Reservation // sorted by address, endpoints first
@@ -147,6 +148,11 @@
 // Version returns the number of this state of the tables.
 func (s *Snapshot) Version() Version { return s.version }
 
+// WriteID returns the id of the change that made this version. Two snapshots
+// with one version and different ids belong to different histories, as after
+// the store was restored from a backup. It is empty if it is not known.
+func (s *Snapshot) WriteID() WriteID { return s.writeID }
+
 // Routes returns all routes sorted by name. The caller must not change them.
 func (s *Snapshot) Routes() []Route { return s.routes }
 
--- a/internal/tables/validate.go
+++ b/internal/tables/validate.go
@@ -9,6 +9,9 @@
 func (s *Snapshot) validate() problems {
 	var p problems
 	s.checkCounts(&p)
+	if len(s.writeID) > maxWriteIDLength {
+		p.add(Entry{Kind: TablesEntry}, RuleLimit, "write id has %d bytes, want at most %d", len(s.writeID), maxWriteIDLength)
+	}
 	for i := range s.routes {
 		s.checkRoute(&s.routes[i], &p)
 	}
@@ -44,7 +47,7 @@
 
 // sizeBound returns an upper bound of the size of the encoded tables.
 func (s *Snapshot) sizeBound() int {
-	bound := 100
+	bound := 100 + 6*maxWriteIDLength // JSON escapes a byte with up to 6
 	for _, r := range s.routes {
 		bound += routeBytes + len(r.Name) + len(r.Pool) + addressBytes(r.Address.AddrPort)
 	}
--- a/standin/store/fault.go
+++ b/standin/store/fault.go
@@ -5,6 +5,7 @@
 // faults are the switches that tests set.
 type faults struct {
 	down         bool
+	throttled    bool
 	slow         time.Duration
 	loseAnswers  int
 	loseRequests int
@@ -20,6 +21,13 @@
 	p.changed = make(chan struct{})
 }
 
+// SetThrottled makes every call exceed the rate limit, or ends that.
+func (p *Platform) SetThrottled(throttled bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults.throttled = throttled
+}
+
 // SetSlow delays every answer by d. A write takes effect before the delay, as
 // in a service whose answers are slow.
 func (p *Platform) SetSlow(d time.Duration) {
--- a/standin/store/memory.go
+++ b/standin/store/memory.go
@@ -121,7 +121,7 @@
 		return store.ErrUnavailable
 	}
 	*count++
-	if !limit.Allow() {
+	if !limit.Allow() || p.faults.throttled {
 		p.counts.Throttled++
 		return store.ErrThrottled
 	}
