Keep flows when members, tables and servers change together

A new owner did not know quiet flows on their default server once the tables changed; a second move within 30 s lost the predecessor; a crash together with a removed server left no candidate.

Ruled out: handing over everything at once (7 MB for 300,000 flows), a longer predecessor period (a quiet flow outlives any).

--- a/internal/carrier/geneve.go
+++ b/internal/carrier/geneve.go
@@ -20,6 +20,8 @@
 	HopPredecessor
 	// HopUnknown: a predecessor returns the packet of a flow it does not know.
 	HopUnknown
+	// HopKnown: a predecessor returns the packet of a flow that is on Server.
+	HopKnown
 )
 
 // Hop is the hop option of a packet between balancers.
@@ -27,21 +29,27 @@
 	Kind HopKind
 	// Count is the number of hops that the packet has made with this one.
 	Count uint8
+	// Confirmed tells, with HopKnown, that the server has responded.
+	Confirmed bool
+	// Server is the id of the flow's server, with HopKnown.
+	Server uint32
 }
 
 // Geneve header (RFC 8926) and hop option.
 const (
 	headerLen = 8
 	optionLen = 4 // without data
-	hopLen    = optionLen + 4
+	hopLen    = optionLen + 8
 	// MaxOverhead is the length of the longest header that this package writes.
 	MaxOverhead = headerLen + hopLen
 
 	protocolIPv4 = 0x0800
 	protocolIPv6 = 0x86dd
 
-	hopClass = 0xfff0 // from the range for experiments
-	hopType  = 0x01
+	hopClass     = 0xfff0 // from the range for experiments
+	hopType      = 0x01
+	hopConfirmed = 0x01 // bit of the third data byte
+
 	critical = 0x80 // bit of the option type
 	control  = 0x80 // O bit of the second byte
 )
@@ -175,7 +183,9 @@
 		return false
 	}
 	h.Kind, h.Count = HopKind(option[4]), option[5]
-	return h.Kind >= HopOwner && h.Kind <= HopUnknown
+	h.Confirmed = option[6]&hopConfirmed != 0
+	h.Server = binary.BigEndian.Uint32(option[8:])
+	return h.Kind >= HopOwner && h.Kind <= HopKnown
 }
 
 // AppendHeader appends to dst the Geneve header for an inner IP packet, with
@@ -185,7 +195,15 @@
 	if hop.Kind == HopNone {
 		return append(dst, 0, 0, byte(p>>8), byte(p), 0, 0, 0, 0)
 	}
-	return append(dst, hopLen/4, 0, byte(p>>8), byte(p), 0, 0, 0, 0,
+	dst = append(dst, hopLen/4, 0, byte(p>>8), byte(p), 0, 0, 0, 0,
 		hopClass>>8, hopClass&0xff, hopType, (hopLen-optionLen)/4,
-		byte(hop.Kind), hop.Count, 0, 0)
+		byte(hop.Kind), hop.Count, hop.flags(), 0)
+	return binary.BigEndian.AppendUint32(dst, hop.Server)
+}
+
+func (h Hop) flags() byte {
+	if h.Confirmed {
+		return hopConfirmed
+	}
+	return 0
 }
--- a/internal/exception/keeper.go
+++ b/internal/exception/keeper.go
@@ -16,6 +16,8 @@
 	Sender  *Sender
 	Peers   Peers
 	Metrics *metrics.Registry
+	// Pause replaces waiting between the batches of a hand-over, for tests.
+	Pause func(ctx context.Context, d time.Duration)
 }
 
 // Accept takes a batch from another daemon, which must be its owner or the one
@@ -30,29 +32,48 @@
 	return ack
 }
 
-// HandOver sends exceptions to the new owners of their slots: moved, which are
-// those of this daemon's own flows, and those kept for owners that no longer
-// serve.
-func (k *Keeper) HandOver(ctx context.Context, v *member.View, ownerOf func(slot uint32) member.Name, moved map[member.Name][]Entry, now time.Time) {
+// HandOver sends flows to the new owners of their slots: moved, which are this
+// daemon's own, and the exceptions kept for owners that no longer serve.
+func (k *Keeper) HandOver(ctx context.Context, v *member.View, ownerOf func(slot uint32) member.Name, moved map[member.Name]Transfer, now time.Time) {
 	for _, name := range k.Held.Owners() {
 		if record, known := v.Get(name); known && record.Serves() && name != v.Self.Name {
 			continue
 		}
 		for _, e := range k.Held.Of(name) {
 			to := ownerOf(e.Slot)
-			moved[to] = append(moved[to], e)
+			if name == v.Self.Name && to == name {
+				continue
+			}
+			t := moved[to]
+			t.Exceptions = append(t.Exceptions, e)
+			moved[to] = t
 		}
 	}
-	Adopt(k.Held, k.Sender, v.Self, moved[v.Self.Name], now)
+	adopt(k.Held, k.Sender, v.Self, messages(moved[v.Self.Name].Exceptions), nil, now)
 	delete(moved, v.Self.Name)
 	delete(moved, "") // no member owns slots
-	for to, entries := range moved {
-		if err := HandOver(ctx, k.Peers, v.Self, to, entries); err != nil {
-			// The new owner still asks this daemon for unknown flows.
-			k.Metrics.Retried(metrics.ExceptionResend)
-			continue
-		}
-		k.Metrics.Count(metrics.ExceptionsHandover, int64(len(entries)))
+	for to, t := range moved {
+		k.transfer(ctx, v.Self, to, t)
+	}
+}
+
+func (k *Keeper) transfer(ctx context.Context, self member.Member, to member.Name, t Transfer) {
+	pause := k.Pause
+	if pause == nil {
+		pause = wait
+	}
+	if err := HandOver(ctx, k.Peers, self, to, t, pause); err != nil {
+		// The new owner still asks this daemon for unknown flows.
+		k.Metrics.Retried(metrics.ExceptionResend)
+		return
+	}
+	k.Metrics.Count(metrics.ExceptionsHandover, int64(len(t.Exceptions)+len(t.OnDefault)))
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
--- a/internal/forward/changes.go
+++ b/internal/forward/changes.go
@@ -17,8 +17,12 @@
 // ApplyTables puts a version of the tables in force for new flows and for the
 // directions of packets. Reassess must follow for the established flows.
 func (e *Engine) ApplyTables(s *tables.Snapshot, now time.Time) {
+	var earlier history
+	if last := e.tables.Load(); last != nil {
+		earlier = last.earlier.next(last.Snapshot, s)
+	}
 	e.policy.Apply(s, now)
-	e.tables.Store(newTableView(s))
+	e.tables.Store(newTableView(s, earlier))
 }
 
 // Reassess finds the flows that a change of the tables has moved off their
@@ -29,7 +33,7 @@
 	if len(changed) == 0 {
 		return
 	}
-	view := newTableView(current)
+	view := newTableView(current, nil)
 	e.eachFlow(func(_ *flow.Shard, f *flow.Flow) {
 		if _, ok := changed[f.Route()]; ok {
 			e.setDeviation(f, !e.onDefault(f, view), now)
@@ -82,16 +86,22 @@
 	return true
 }
 
-// Moved returns the exceptions of flows whose slots other members own now, by
-// owner.
-func (e *Engine) Moved() map[member.Name][]exception.Entry {
+// Moved returns the flows whose slots other members own now, by owner.
+func (e *Engine) Moved() map[member.Name]exception.Transfer {
 	view := e.view.Load()
-	moved := make(map[member.Name][]exception.Entry)
+	moved := make(map[member.Name]exception.Transfer)
 	e.eachFlow(func(_ *flow.Shard, f *flow.Flow) {
 		to := view.Map.OwnerName(f.Slot())
-		if to != "" && to != view.Self && f.Has(flow.Deviated) {
-			moved[to] = append(moved[to], entryOf(f))
+		if to == "" || to == view.Self || f.State() == flow.TCPClosing {
+			return
+		}
+		t := moved[to]
+		if f.Has(flow.Deviated) {
+			t.Exceptions = append(t.Exceptions, entryOf(f))
+		} else {
+			t.OnDefault = append(t.OnDefault, entryOf(f))
 		}
+		moved[to] = t
 	})
 	return moved
 }
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -20,10 +20,10 @@
 	"knapweedshore.example/internal/tables"
 )
 
-// MaxHops is how often balancers may pass a packet on among themselves. Three
-// hops reach the owner by way of a member with an older view; views agree
-// within seconds.
-const MaxHops = 3
+// MaxHops is how often balancers may pass a packet on among themselves: one to
+// the owner, and three each for two predecessors of a slot that has moved twice
+// within PredecessorPeriod. Views that disagree use the same hops.
+const MaxHops = 7
 
 // MoveDelay is how long an opening TCP flow waits for its server before the
 // caller's next SYN may go to another one.
@@ -140,6 +140,11 @@
 	return tables.Address{AddrPort: j.info.Dst, Protocol: j.info.Protocol}
 }
 
+// payload returns the bytes after the transport header.
+func (j *job) payload() []byte {
+	return j.in.Inner[len(j.in.Inner)-j.info.PayloadLen:]
+}
+
 // Handle decides about one packet and appends what is to be sent to out. The
 // packet may be rewritten in place.
 func (e *Engine) Handle(in *carrier.Incoming, out *Output, now time.Time) {
@@ -215,68 +220,84 @@
 
 // dispatch decides here or sends the packet to the member that should.
 func (e *Engine) dispatch(j *job) (metrics.Reason, bool) {
-	switch j.in.Hop.Kind {
-	case carrier.HopPredecessor:
-		// No standing is needed: the sender owns the slot, and a known flow
-		// stays where it is.
-		if e.known(j) || j.view.owns(j.slot) {
-			return e.decide(j)
-		}
-		return e.pass(j, j.in.From, carrier.HopUnknown)
-	case carrier.HopUnknown:
-		j.asked = true
+	if j.in.Hop.Kind == carrier.HopPredecessor {
+		return e.asPredecessor(j)
 	}
 	if j.view.Standing && !e.standing(j.now) {
 		// The pause is so recent that the view does not show it yet.
 		return metrics.NoStanding, false
 	}
+	returned := j.in.Hop.Kind == carrier.HopUnknown || j.in.Hop.Kind == carrier.HopKnown
 	if j.view.owns(j.slot) {
+		j.asked = returned
 		return e.decide(j)
 	}
 	to, ok := j.view.ownerAddress(j.slot)
 	if !ok {
 		return metrics.NoOwner, false
 	}
-	if !j.view.Standing {
-		return e.passWithoutStanding(j, to)
+	switch {
+	case returned && !j.view.Standing:
+		return metrics.NoStanding, false
+	case returned:
+		// This daemon has asked its own predecessor for another one.
+		return e.passHop(j, to, j.in.Hop)
+	case !j.view.Standing:
+		// The others may still take this daemon for the owner. Asked as a
+		// predecessor, they do not send the packet back before they have looked
+		// for the flow.
+		return e.pass(j, to, carrier.HopPredecessor)
 	}
 	return e.pass(j, to, carrier.HopOwner)
 }
 
-// passWithoutStanding sends the packet to the owner among the other members.
-// These may still take this daemon for the owner: asked as a predecessor, they
-// do not send the packet back unless they do not know the flow.
-func (e *Engine) passWithoutStanding(j *job, to netip.AddrPort) (metrics.Reason, bool) {
-	if j.asked {
-		return metrics.NoStanding, false
+// asPredecessor answers a new owner that does not know a flow. It needs no
+// standing: a flow that is known here stays where it is.
+func (e *Engine) asPredecessor(j *job) (metrics.Reason, bool) {
+	if j.view.owns(j.slot) {
+		return e.decide(j)
+	}
+	if hop, ok := e.lookUp(j); ok {
+		if j.response || j.info.ICMPError {
+			return e.decide(j)
+		}
+		return e.passHop(j, j.in.From, hop)
 	}
-	return e.pass(j, to, carrier.HopPredecessor)
+	if to, ok := j.view.earlierHolder(j.slot, j.now); ok {
+		return e.pass(j, to, carrier.HopPredecessor)
+	}
+	return e.pass(j, j.in.From, carrier.HopUnknown)
 }
 
 // pass sends the packet unchanged to another member.
 func (e *Engine) pass(j *job, to netip.AddrPort, kind carrier.HopKind) (metrics.Reason, bool) {
-	count := j.in.Hop.Count + 1
-	if count > MaxHops {
+	return e.passHop(j, to, carrier.Hop{Kind: kind})
+}
+
+func (e *Engine) passHop(j *job, to netip.AddrPort, hop carrier.Hop) (metrics.Reason, bool) {
+	hop.Count = j.in.Hop.Count + 1
+	if hop.Count > MaxHops {
 		return metrics.HopLimit, false
 	}
 	e.metrics.Count(metrics.PacketsForwarded, 1)
-	j.out.send(j.in.Inner, to, carrier.Hop{Kind: kind, Count: count})
+	j.out.send(j.in.Inner, to, hop)
 	return "", true
 }
 
-// known reports whether this daemon has state of the flow.
-func (e *Engine) known(j *job) bool {
+// lookUp returns what this daemon knows of the flow, for the new owner.
+func (e *Engine) lookUp(j *job) (carrier.Hop, bool) {
 	shard := e.flows.Shard(j.slot)
 	shard.Lock()
 	defer shard.Unlock()
 	if j.response {
-		return shard.Reverse(j.caller, j.info.Protocol, j.info.Src) != nil || e.heldResponse(j) != nil
+		known := shard.Reverse(j.caller, j.info.Protocol, j.info.Src) != nil || e.heldResponse(j) != nil
+		return carrier.Hop{}, known
 	}
-	if shard.Forward(j.caller, j.address()) != nil {
-		return true
+	if f := shard.Forward(j.caller, j.address()); f != nil {
+		return carrier.Hop{Kind: carrier.HopKnown, Server: uint32(f.Server()), Confirmed: f.Has(flow.Confirmed)}, true
 	}
-	_, ok := e.held.Lookup(flow.Fingerprint(j.caller, j.address()))
-	return ok
+	held, ok := e.held.Lookup(flow.Fingerprint(j.caller, j.address()))
+	return carrier.Hop{Kind: carrier.HopKnown, Server: uint32(held.Server), Confirmed: true}, ok
 }
 
 // decide handles the packet as the flow's owner.
--- /dev/null
+++ b/internal/forward/history.go
@@ -0,0 +1,101 @@
+package forward
+
+import (
+	"net/netip"
+	"slices"
+
+	"knapweedshore.example/internal/selection"
+	"knapweedshore.example/internal/tables"
+)
+
+// maxHistory is how many earlier pools of a route are remembered. Changes of
+// one pool that follow each other within the life of a flow are rare, and each
+// one costs an unknown TCP flow one retransmission to try.
+const maxHistory = 4
+
+// history holds the pools that routes had in earlier versions, newest first.
+// An owner that takes over a slot finds a flow's server there when the tables
+// changed at the same moment.
+type history map[tables.RouteID][]*tables.Pool
+
+// next returns the history after a change of the tables.
+func (h history) next(old, current *tables.Snapshot) history {
+	changed := changedRoutes(old, current)
+	if len(changed) == 0 && h != nil {
+		return h
+	}
+	out := make(history)
+	for i := range current.Routes() {
+		r := &current.Routes()[i]
+		earlier := h[r.ID]
+		if _, ok := changed[r.ID]; ok {
+			earlier = push(earlier, old, r.ID)
+		}
+		if len(earlier) > 0 {
+			out[r.ID] = earlier
+		}
+	}
+	return out
+}
+
+func push(earlier []*tables.Pool, old *tables.Snapshot, id tables.RouteID) []*tables.Pool {
+	route, ok := old.RouteByID(id)
+	if !ok {
+		return earlier
+	}
+	pool, ok := old.Pool(route.Pool)
+	if !ok {
+		return earlier
+	}
+	// A copy, so that the rest of the old version can be freed.
+	kept := &tables.Pool{Name: pool.Name, Servers: slices.Clone(pool.Servers)}
+	return append([]*tables.Pool{kept}, earlier[:min(len(earlier), maxHistory-1)]...)
+}
+
+// servers indexes the servers of all earlier pools, newest first, with the
+// routes of the current version that used them.
+func (h history) servers(current *tables.Snapshot) map[netip.AddrPort]formerServer {
+	out := make(map[netip.AddrPort]formerServer)
+	for id, pools := range h {
+		route, ok := current.RouteByID(id)
+		if !ok {
+			continue
+		}
+		for _, p := range pools {
+			for i := range p.Servers {
+				s := &p.Servers[i]
+				f := out[s.Endpoint]
+				if f.server == nil {
+					f.server = s
+				}
+				f.routes = append(f.routes, route)
+				out[s.Endpoint] = f
+			}
+		}
+	}
+	return out
+}
+
+// defaultServer returns the default server of the flow in the current version,
+// or, if after is set, the first other one in an earlier version that follows
+// it.
+func (v *tableView) defaultServer(fp uint64, route *tables.Route, pool *tables.Pool, after tables.ServerID) (*tables.Server, bool) {
+	var candidates []*tables.Server
+	for _, p := range append([]*tables.Pool{pool}, v.earlier[route.ID]...) {
+		s, ok := selection.Default(fp, p)
+		if ok && !slices.ContainsFunc(candidates, func(c *tables.Server) bool { return c.ID == s.ID }) {
+			candidates = append(candidates, s)
+		}
+	}
+	if len(candidates) == 0 {
+		return nil, false
+	}
+	if after == 0 {
+		return candidates[0], true
+	}
+	i := slices.IndexFunc(candidates, func(c *tables.Server) bool { return c.ID == after })
+	if i < 0 || i+1 == len(candidates) {
+		return nil, false
+	}
+	return candidates[i+1], true
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -6,7 +6,6 @@
 	"github.com/go-faster/errors"
 
 	"knapweedshore.example/internal/carrier"
-	"knapweedshore.example/internal/exception"
 	"knapweedshore.example/internal/flow"
 	"knapweedshore.example/internal/metrics"
 	"knapweedshore.example/internal/packet"
@@ -29,12 +28,22 @@
 		e.close(shard, f, j)
 		return reason, ok
 	}
+	if unheard(f, j) {
+		e.tryEarlierDefault(j, shard, f)
+	}
 	if e.shouldMove(f, j) {
 		e.move(f, j, shard)
 	}
 	return e.toServer(j, f)
 }
 
+// unheard reports whether an adopted UDP flow may be on the wrong server: a
+// QUIC server drops packets of a connection that it does not know.
+func unheard(f *flow.Flow, j *job) bool {
+	return j.info.Protocol == tables.UDP && f.Has(flow.Adopted) && !f.Has(flow.Confirmed) &&
+		f.SinceServer(j.now) >= MoveDelay
+}
+
 func (e *Engine) toServer(j *job, f *flow.Flow) (metrics.Reason, bool) {
 	change := f.Observe(flow.FromCaller, &j.info, j.now)
 	e.learn(f, change, j)
@@ -43,18 +52,29 @@
 }
 
 // unknownRequest handles a packet of a flow without state: it may be known as
-// an exception, to the predecessor, or to nobody.
+// an exception, to a predecessor, or to nobody.
 func (e *Engine) unknownRequest(j *job, shard *flow.Shard) (metrics.Reason, bool) {
 	fp := flow.Fingerprint(j.caller, j.address())
+	known := knownFlow{address: j.address(), confirmed: true}
 	if held, ok := e.held.Lookup(fp); ok {
-		if f, ok := e.resume(j, shard, held, j.address()); ok {
+		known.route, known.server = held.Route, held.Server
+		if f, ok := e.resume(j, shard, known); ok {
+			return e.toServer(j, f)
+		}
+	}
+	route, ok := j.tables.RouteFor(j.address())
+	if j.in.Hop.Kind == carrier.HopKnown {
+		known.confirmed, known.server = j.in.Hop.Confirmed, tables.ServerID(j.in.Hop.Server)
+		if ok {
+			known.route = route.ID
+		}
+		if f, ok := e.resume(j, shard, known); ok {
 			return e.toServer(j, f)
 		}
 	}
 	if to, ok := e.predecessor(j); ok {
 		return e.pass(j, to, carrier.HopPredecessor)
 	}
-	route, ok := j.tables.RouteFor(j.address())
 	if !ok {
 		return metrics.NoRoute, false
 	}
@@ -62,12 +82,31 @@
 	if !ok {
 		return metrics.NoUsableServer, false
 	}
-	if j.info.Protocol == tables.TCP && !j.info.IsSYN() {
+	if e.established(j) {
 		return e.adoptRequest(j, shard, fp, route, pool)
 	}
 	return e.open(j, shard, fp, route, pool)
 }
 
+// established reports whether a packet of an unknown flow belongs to one that
+// was opened before: a TCP segment without SYN, or a QUIC packet with a short
+// header (RFC 8999) while the slot's flows may be unknown here. A UDP packet
+// that only looks like QUIC is put on its default server, which is also what
+// it gets as a new flow.
+func (e *Engine) established(j *job) bool {
+	if j.info.Protocol == tables.TCP {
+		return !j.info.IsSYN()
+	}
+	return j.view.settling(j.slot, j.now) && shortHeader(j.payload())
+}
+
+// shortHeader reports whether a UDP payload starts like a QUIC packet with a
+// short header, which only established connections send.
+func shortHeader(payload []byte) bool {
+	const form, fixed = 0x80, 0x40
+	return len(payload) > 0 && payload[0]&form == 0 && payload[0]&fixed != 0
+}
+
 // predecessor returns the member to ask about an unknown flow first.
 func (e *Engine) predecessor(j *job) (netip.AddrPort, bool) {
 	if j.asked || j.in.Hop.Kind == carrier.HopPredecessor || j.in.Hop.Count+1 > MaxHops {
@@ -76,25 +115,36 @@
 	return j.view.predecessor(j.slot, j.now)
 }
 
-// resume continues a flow that another owner has opened, on the server that its
-// exception names.
-func (e *Engine) resume(j *job, shard *flow.Shard, held exception.Entry, address tables.Address) (*flow.Flow, bool) {
-	endpoint, ok := j.tables.endpoint(held.Server)
+// knownFlow is what another daemon has told about a flow.
+type knownFlow struct {
+	address   tables.Address
+	route     tables.RouteID
+	server    tables.ServerID
+	confirmed bool
+}
+
+// resume continues a flow that another owner has opened.
+func (e *Engine) resume(j *job, shard *flow.Shard, known knownFlow) (*flow.Flow, bool) {
+	endpoint, ok := j.tables.endpoint(known.server)
 	if !ok {
 		return nil, false
 	}
-	f, err := shard.Open(flow.Opening{
-		Slot: j.slot, Caller: j.caller, Address: address, Route: held.Route,
-		Server: held.Server, Endpoint: endpoint, State: resumedState(j.info.Protocol),
-		Flags: flow.Adopted | flow.Confirmed | flow.PayloadSent, Now: j.now,
-	})
+	opening := flow.Opening{
+		Slot: j.slot, Caller: j.caller, Address: known.address, Route: known.route,
+		Server: known.server, Endpoint: endpoint, State: resumedState(j.info.Protocol),
+		Flags: flow.Adopted | flow.PayloadSent, Now: j.now,
+	}
+	if known.confirmed {
+		opening.Flags |= flow.Confirmed
+	}
+	f, err := shard.Open(opening)
 	if err != nil {
 		return nil, false
 	}
-	e.held.Remove(held.Fingerprint)
+	e.held.Remove(f.Fingerprint())
 	e.metrics.Count(metrics.FlowsAdopted, 1)
-	e.policy.Opened(held.Server, j.now)
-	e.deviate(f, held, j)
+	e.policy.Opened(known.server, j.now)
+	e.setDeviation(f, !e.onDefault(f, j.tables), j.now)
 	return f, true
 }
 
@@ -105,16 +155,16 @@
 	return flow.UDPAnswered
 }
 
-// adoptRequest takes over an established TCP flow that nobody knows, on its
-// default server. The flow stays unconfirmed until that server responds.
+// adoptRequest takes over an established flow that nobody knows, on the server
+// that was its default. The flow stays unconfirmed until that server responds.
 func (e *Engine) adoptRequest(j *job, shard *flow.Shard, fp uint64, route *tables.Route, pool *tables.Pool) (metrics.Reason, bool) {
-	server, ok := selection.Default(fp, pool)
+	server, ok := j.tables.defaultServer(fp, route, pool, 0)
 	if !ok {
 		return metrics.NoUsableServer, false
 	}
 	f, err := shard.Open(flow.Opening{
 		Slot: j.slot, Caller: j.caller, Address: j.address(), Route: route.ID,
-		Server: server.ID, Endpoint: server.Endpoint, State: flow.TCPEstablished,
+		Server: server.ID, Endpoint: server.Endpoint, State: resumedState(j.info.Protocol),
 		Flags: flow.Adopted, Now: j.now,
 	})
 	if err != nil {
@@ -122,6 +172,7 @@
 	}
 	e.metrics.Count(metrics.FlowsAdopted, 1)
 	e.policy.Opened(server.ID, j.now)
+	e.setDeviation(f, !e.onDefault(f, j.tables), j.now)
 	return e.toServer(j, f)
 }
 
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -18,11 +18,31 @@
 	if j.info.TCPFlags&packet.FlagRST != 0 && f.Has(flow.Adopted) && !f.Has(flow.Confirmed) {
 		// The server only says that it does not know the flow; the flow may be
 		// alive on another one.
+		e.tryEarlierDefault(j, shard, f)
 		return metrics.ResetUnconfirmed, false
 	}
 	return e.toCaller(j, f)
 }
 
+// tryEarlierDefault moves an adopted flow that its server does not know to the
+// default server of an earlier version of the tables. The caller's
+// retransmission reaches it there.
+func (e *Engine) tryEarlierDefault(j *job, shard *flow.Shard, f *flow.Flow) {
+	route, ok := j.tables.RouteByID(f.Route())
+	if !ok {
+		return
+	}
+	pool, ok := j.tables.Pool(route.Pool)
+	if !ok {
+		return
+	}
+	server, ok := j.tables.defaultServer(f.Fingerprint(), route, pool, f.Server())
+	if !ok || shard.Rebind(f, server.ID, server.Endpoint) != nil {
+		return
+	}
+	e.setDeviation(f, !e.onDefault(f, j.tables), j.now)
+}
+
 func (e *Engine) toCaller(j *job, f *flow.Flow) (metrics.Reason, bool) {
 	change := f.Observe(flow.FromServer, &j.info, j.now)
 	e.learn(f, change, j)
@@ -34,7 +54,8 @@
 // evidence that the flow is on this server.
 func (e *Engine) unknownResponse(j *job, shard *flow.Shard) (metrics.Reason, bool) {
 	if held := e.heldResponse(j); held != nil {
-		if f, ok := e.resume(j, shard, held.entry, held.address); ok {
+		known := knownFlow{address: held.address, route: held.entry.Route, server: held.entry.Server, confirmed: true}
+		if f, ok := e.resume(j, shard, known); ok {
 			return e.toCaller(j, f)
 		}
 	}
@@ -44,15 +65,13 @@
 	if j.info.TCPFlags&packet.FlagRST != 0 {
 		return metrics.AnswerUnknown, false
 	}
-	ref, ok := j.tables.ServerAt(j.info.Src)
-	if !ok {
-		return metrics.AnswerUnknown, false
-	}
-	route, ok := j.onlyRoute(ref.Pool.Name)
-	if !ok {
+	server, routes := j.tables.serverAt(j.info.Src, j.info.Protocol)
+	if len(routes) != 1 {
+		// With several routes, the caller's next packet must tell which one
+		// the flow uses.
 		return metrics.AnswerUnknown, false
 	}
-	return e.adoptResponse(j, shard, route, ref.Server)
+	return e.adoptResponse(j, shard, routes[0], server)
 }
 
 // adoptResponse continues a flow on the server that responds, unless the flow
@@ -86,40 +105,18 @@
 	return e.toCaller(j, f)
 }
 
-// onlyRoute returns the one route of the packet's protocol that names the pool.
-// With several, the caller's next packet must tell which one it uses.
-func (j *job) onlyRoute(pool string) (*tables.Route, bool) {
-	var found *tables.Route
-	for _, r := range j.tables.RoutesOf(pool) {
-		if r.Address.Protocol != j.info.Protocol {
-			continue
-		}
-		if found != nil {
-			return nil, false
-		}
-		found = r
-	}
-	return found, found != nil
-}
-
 type heldFlow struct {
 	entry   exception.Entry
 	address tables.Address
 }
 
 // heldResponse finds the exception of the flow that a response belongs to. The
-// route is not in the packet, so every route of the server's pool is tried.
+// route is not in the packet, so every route of the server is tried.
 func (e *Engine) heldResponse(j *job) *heldFlow {
-	ref, ok := j.tables.ServerAt(j.info.Src)
-	if !ok {
-		return nil
-	}
-	for _, r := range j.tables.RoutesOf(ref.Pool.Name) {
-		if r.Address.Protocol != j.info.Protocol {
-			continue
-		}
+	server, routes := j.tables.serverAt(j.info.Src, j.info.Protocol)
+	for _, r := range routes {
 		held, ok := e.held.Lookup(flow.Fingerprint(j.caller, r.Address))
-		if ok && held.Server == ref.Server.ID {
+		if ok && held.Server == server.ID {
 			return &heldFlow{entry: held, address: r.Address}
 		}
 	}
--- a/internal/forward/tracker.go
+++ b/internal/forward/tracker.go
@@ -77,7 +77,7 @@
 
 func (t *Tracker) view(v *member.View) *View {
 	out := &View{
-		Self: v.Self.Name, Standing: v.Standing, Map: t.current,
+		Self: v.Self.Name, SelfData: v.Self.Data, Standing: v.Standing, Map: t.current,
 		Known: make(map[netip.AddrPort]struct{}),
 	}
 	for _, c := range t.current.Members() {
@@ -100,7 +100,7 @@
 func (m trackedMove) resolve(v *member.View) Move {
 	move := Move{At: m.at, Before: m.before, Holders: make([]netip.AddrPort, len(m.before.Members()))}
 	for i, c := range m.before.Members() {
-		if holder, ok := m.holder(c.Name, v); ok && holder.Name != v.Self.Name {
+		if holder, ok := m.holder(c.Name, v); ok {
 			move.Holders[i] = holder.Data
 		}
 	}
--- a/internal/forward/view.go
+++ b/internal/forward/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"knapweedshore.example/internal/member"
@@ -23,6 +24,8 @@
 // View is an immutable picture of the members, for the packet path.
 type View struct {
 	Self member.Name
+	// SelfData is the own data address.
+	SelfData netip.AddrPort
 	// Standing tells whether this daemon may decide about flows. Without
 	// standing, Map does not contain it.
 	Standing bool
@@ -60,36 +63,66 @@
 	return v.Data[i], true
 }
 
-// lastMove returns the newest move that changed the owner of the slot.
-func (v *View) lastMove(slot uint32, now time.Time, within time.Duration) (Move, int, bool) {
+// formerOwners calls visit for each move within the period that changed the
+// owner of the slot, newest first, with the index of the owner before it, until
+// visit returns false.
+func (v *View) formerOwners(slot uint32, now time.Time, within time.Duration, visit func(Move, int) bool) {
 	current := v.Map.OwnerName(slot)
 	for _, m := range v.Moves {
 		if now.Sub(m.At) > within {
-			break
+			return
 		}
 		i := m.Before.Owner(slot)
-		if i != owner.NoOwner && m.Before.Members()[i].Name != current {
-			return m, i, true
+		if i != owner.NoOwner && m.Before.Members()[i].Name != current && !visit(m, i) {
+			return
 		}
 	}
-	return Move{}, 0, false
 }
 
-// predecessor returns the data address of the daemon that knew the flows of
-// the slot before it moved here.
+// predecessor returns the data address of the daemon that may know the flows
+// of the slot: the newest former holder other than this daemon.
 func (v *View) predecessor(slot uint32, now time.Time) (netip.AddrPort, bool) {
-	m, i, ok := v.lastMove(slot, now, PredecessorPeriod)
-	if !ok || !m.Holders[i].IsValid() {
-		return netip.AddrPort{}, false
-	}
-	return m.Holders[i], true
+	return v.holderBefore(slot, now, true)
+}
+
+// earlierHolder returns the daemon that held the slot before this one did. A
+// chain of daemons that ask their earlier holders ends, because each one looks
+// further back. A daemon that never held the slot may have been named by one
+// with another view, and asks the newest holder.
+func (v *View) earlierHolder(slot uint32, now time.Time) (netip.AddrPort, bool) {
+	held := false
+	v.formerOwners(slot, now, PredecessorPeriod, func(m Move, i int) bool {
+		held = m.Holders[i] == v.SelfData
+		return !held
+	})
+	return v.holderBefore(slot, now, !held)
+}
+
+// holderBefore returns the newest former holder that is not this daemon, if
+// past is set, or else the newest one before this daemon was the holder.
+func (v *View) holderBefore(slot uint32, now time.Time, past bool) (netip.AddrPort, bool) {
+	var found netip.AddrPort
+	v.formerOwners(slot, now, PredecessorPeriod, func(m Move, i int) bool {
+		switch h := m.Holders[i]; {
+		case h == v.SelfData:
+			past = true
+		case past:
+			found = h
+		}
+		return !found.IsValid()
+	})
+	return found, found.IsValid()
 }
 
-// settling reports whether the slot moved here so recently that an unknown UDP
-// flow may be an established one.
+// settling reports whether the slot moved so recently that an unknown UDP flow
+// may be an established one.
 func (v *View) settling(slot uint32, now time.Time) bool {
-	_, _, ok := v.lastMove(slot, now, SettlingPeriod)
-	return ok
+	moved := false
+	v.formerOwners(slot, now, SettlingPeriod, func(Move, int) bool {
+		moved = true
+		return false
+	})
+	return moved
 }
 
 // tableView is a snapshot with the indexes that only the packet path needs.
@@ -98,11 +131,23 @@
 	removedAddress  map[tables.Address]struct{}
 	removedEndpoint map[netip.AddrPort]struct{}
 	removedServer   map[tables.ServerID]netip.AddrPort
+	earlier         history
+	// former holds the servers of earlier pools by endpoint.
+	former map[netip.AddrPort]formerServer
 }
 
-func newTableView(s *tables.Snapshot) *tableView {
+// formerServer is a backend server together with the routes whose earlier
+// pools contained it.
+type formerServer struct {
+	server *tables.Server
+	routes []*tables.Route
+}
+
+func newTableView(s *tables.Snapshot, earlier history) *tableView {
 	v := &tableView{
 		Snapshot:        s,
+		earlier:         earlier,
+		former:          earlier.servers(s),
 		removedAddress:  make(map[tables.Address]struct{}),
 		removedEndpoint: make(map[netip.AddrPort]struct{}),
 		removedServer:   make(map[tables.ServerID]netip.AddrPort),
@@ -138,6 +183,24 @@
 	return removed
 }
 
+// serverAt returns the server with this endpoint, and the routes of a protocol
+// whose flows may be on it.
+func (v *tableView) serverAt(endpoint netip.AddrPort, p tables.Protocol) (*tables.Server, []*tables.Route) {
+	former := v.former[endpoint]
+	server, candidates := former.server, former.routes
+	if ref, ok := v.ServerAt(endpoint); ok {
+		server = ref.Server
+		candidates = slices.Concat(v.RoutesOf(ref.Pool.Name), former.routes)
+	}
+	var routes []*tables.Route
+	for _, r := range candidates {
+		if r.Address.Protocol == p && !slices.Contains(routes, r) {
+			routes = append(routes, r)
+		}
+	}
+	return server, routes
+}
+
 // endpoint returns the endpoint of a server that is or was in the tables.
 func (v *tableView) endpoint(id tables.ServerID) (netip.AddrPort, bool) {
 	if ref, ok := v.ServerByID(id); ok {
