Let operators renumber the tables of a restored store

Daemons refuse the versions that a store restored from a backup counts again, so no change came into force until the store had caught up. The command recover gives the tables a version above that of every daemon and skips ids that the lost versions may have used.

--- a/cmd/knapweedshorectl/app.go
+++ b/cmd/knapweedshorectl/app.go
@@ -55,7 +55,7 @@
 		ErrWriter:             errOut,
 		Flags:                 globalFlags(),
 		Commands: []*cli.Command{
-			routeCommand(), poolCommand(), applyCommand(), historyCommand(), statusCommand(),
+			routeCommand(), poolCommand(), applyCommand(), historyCommand(), statusCommand(), recoverCommand(),
 		},
 		Action: missingCommand,
 		// run prints the error and chooses the exit code.
--- a/cmd/knapweedshorectl/main_test.go
+++ b/cmd/knapweedshorectl/main_test.go
@@ -111,6 +111,9 @@
 	is.Equal(entries[0].Changes, []string{`delete pool "mapas"`})
 	s.ctl(exitOK, "history", "--write", string(entries[0].WriteID))
 	s.ctl(exitFailure, "history", "--write", "none")
+	s.ctl(exitFailure, "recover", "--above", "8")
+	out, _ = s.ctl(exitOK, "recover", "--above", "20")
+	is.True(strings.Contains(out, "version 21, write "))
 }
 
 // Guards against an exit code that scripts would misread, and against a
--- a/internal/edit/edit.go
+++ b/internal/edit/edit.go
@@ -182,7 +182,11 @@
 		return 0, err
 	}
 	if to, needed := head.CompactTo(); needed {
-		if err := w.writeBase(ctx, state, to); err != nil {
+		base, err := state.Head.Replay(state.base, to)
+		if err != nil {
+			return 0, err
+		}
+		if err := w.writeBase(ctx, base); err != nil {
 			return 0, errors.Wrapf(err, "write base %d", to)
 		}
 		if head, err = head.Rebase(to); err != nil {
--- a/internal/edit/edit_test.go
+++ b/internal/edit/edit_test.go
@@ -320,6 +320,36 @@
 	is.True(stale.NotNewer())
 }
 
+// Guards against a restored store whose tables no daemon accepts any more, or
+// only together with ids that the lost versions have used.
+func TestRenumberAfterRestore(t *testing.T) {
+	is := is.New(t)
+	p := withPools(t, standin.Options{})
+	backup := p.Backup()
+	for i := range 3 {
+		_, err := editor(p.Memory(), "ana").Write(t.Context(), put(largePool(i)))
+		is.NoErr(err)
+	}
+	daemon := read(t, p).Snapshot
+	p.Restore(backup)
+	p.LoseAnswers(2) // of the base and of the head
+	r, err := editor(p.Memory(), "ana").Renumber(t.Context(), daemon.Version())
+	is.NoErr(err)
+	is.Equal(r.Version, daemon.Version()+1)
+	_, err = editor(p.Memory(), "ana").Write(t.Context(), put(mapas(50)))
+	is.NoErr(err)
+	now := read(t, p)
+	is.Equal(now.Snapshot.Version(), daemon.Version()+2)
+	_, ok := now.Head.DeltasSince(daemon.Version())
+	is.True(!ok) // the daemon loads the base
+	added, ok := now.Snapshot.Server("mapas", "m1")
+	is.True(ok)
+	_, used := daemon.ServerByID(added.ID)
+	is.True(!used)
+	_, err = editor(p.Memory(), "ana").Renumber(t.Context(), 1)
+	is.True(err != nil) // versions never regress
+}
+
 // Guards against a change that makes a version although it changes nothing.
 func TestChangeWithoutEffect(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/internal/edit/renumber.go
@@ -0,0 +1,50 @@
+package edit
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"knapweedshore.example/internal/store"
+	"knapweedshore.example/internal/tables"
+)
+
+// Renumber makes the tables of the store the version after above, so that
+// daemons which have seen versions up to above accept them again. It is for a
+// store that was restored from a backup.
+func (e *Editor) Renumber(ctx context.Context, above tables.Version) (Result, error) {
+	state, err := e.Read(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	id := tables.NewWriteID()
+	snapshot, err := state.Snapshot.Renumber(above+1, id)
+	if err != nil {
+		return Result{}, err
+	}
+	if err := e.writeBase(ctx, snapshot); err != nil {
+		return Result{}, errors.Wrapf(err, "write base %d", snapshot.Version())
+	}
+	head := &tables.Head{Version: snapshot.Version(), Base: snapshot.Version(), WriteIDs: []tables.WriteID{id}}
+	_, err = e.store.Swap(ctx, tables.HeadKey, head.Encode(), state.revision)
+	if err != nil && !e.wasWritten(ctx, id) {
+		switch {
+		case errors.Is(err, store.ErrUnknownOutcome):
+			return Result{}, &OutcomeUnknownError{WriteID: id, Cause: err}
+		case errors.Is(err, store.ErrConflict):
+			return Result{}, ErrBusy
+		}
+		return Result{}, errors.Wrap(err, "swap head")
+	}
+	return Result{Version: head.Version, WriteID: id}, nil
+}
+
+// wasWritten reports whether the head is known to contain a write.
+func (e *Editor) wasWritten(ctx context.Context, id tables.WriteID) bool {
+	head, err := e.Head(ctx)
+	if err != nil {
+		return false
+	}
+	_, ok := head.Written(id)
+	return ok
+}
--- a/internal/edit/state.go
+++ b/internal/edit/state.go
@@ -70,24 +70,21 @@
 	return base, nil
 }
 
-// writeBase writes the whole snapshot of a version that is already in force.
-// Another editor may have written the same one. A different value is left from
-// before the store was restored from a backup, and no head names it.
-func (w *write) writeBase(ctx context.Context, state *State, v tables.Version) error {
-	snapshot, err := state.Head.Replay(state.base, v)
-	if err != nil {
-		return err
-	}
-	key, data, revision := tables.BaseKey(v), snapshot.Encode(), uint64(0)
+// writeBase writes a whole snapshot that no head names yet. Another editor may
+// have written the same one. A different value is left from before the store
+// was restored from a backup.
+func (e *Editor) writeBase(ctx context.Context, snapshot *tables.Snapshot) error {
+	key, data, revision := tables.BaseKey(snapshot.Version()), snapshot.Encode(), uint64(0)
+	var err error
 	for range maxAttempts {
-		_, err = w.store.Swap(ctx, key, data, revision)
+		_, err = e.store.Swap(ctx, key, data, revision)
 		if err == nil {
 			return nil
 		}
 		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknownOutcome) {
 			return err
 		}
-		value, readErr := w.store.Get(ctx, key)
+		value, readErr := e.store.Get(ctx, key)
 		switch {
 		case readErr == nil && string(value.Data) == string(data):
 			return nil
--- a/internal/tables/snapshot.go
+++ b/internal/tables/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 
@@ -87,6 +88,27 @@
 	return s, nil
 }
 
+// renumberedIDs is how many ids a renumbered snapshot skips, because the
+// versions that were lost may have used them. It allows for years of changes.
+const renumberedIDs = 1 << 20
+
+// Renumber returns the same tables as a higher version, made by a write. It is
+// for a store that was restored from a backup: daemons refuse the versions
+// that the store counts again.
+func (s *Snapshot) Renumber(v Version, id WriteID) (*Snapshot, error) {
+	if v <= s.version {
+		return nil, errors.Errorf("version %d is not above the present version %d", v, s.version)
+	}
+	if s.nextID > math.MaxUint32-renumberedIDs {
+		var p problems
+		p.add(Entry{Kind: TablesEntry}, RuleLimit, "all ids are used up")
+		return nil, p.err()
+	}
+	next := *s
+	next.version, next.writeID, next.nextID = v, id, s.nextID+renumberedIDs
+	return &next, nil
+}
+
 // sort brings the entries into the order that Encode and the accessors use. It
 // leaves the servers alone, because pools may share them with older snapshots.
 func (s *Snapshot) sort() {
