Answer a new owner before the hop limit

Cause: daemons that start one after another have different histories of a slot.

Change: a predecessor asks one more holder only if the answer can still reach the owner; otherwise it answers that it does not know the flow.

--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -25,6 +25,11 @@
 // within PredecessorPeriod. Views that disagree use the same hops.
 const MaxHops = 7
 
+// askHops are the hops that asking one more holder takes: to it, back here, and
+// from here to the owner. Holders whose views differ may name each other, so
+// the search must end with an answer before the hop limit drops the packet.
+const askHops = 3
+
 // MoveDelay is how long an opening TCP flow waits for its server before the
 // caller's next SYN may go to another one.
 const MoveDelay = time.Second
@@ -263,7 +268,7 @@
 		}
 		return e.passHop(j, j.in.From, hop)
 	}
-	if to, ok := j.view.earlierHolder(j.slot, j.now); ok {
+	if to, ok := j.view.earlierHolder(j.slot, j.now); ok && int(j.in.Hop.Count)+askHops <= MaxHops {
 		return e.pass(j, to, carrier.HopPredecessor)
 	}
 	return e.pass(j, j.in.From, carrier.HopUnknown)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -195,6 +195,28 @@
 	}
 }
 
+// Guards against a flow that cannot open because two daemons with different
+// histories each take the other for an earlier holder.
+func TestFlowOpensWhenHoldersNameEachOther(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, "a", "b", "c")
+	w.services()
+	a, b, c := w.nodes["a"], w.nodes["b"], w.nodes["c"]
+	name := func(n, holder *node) {
+		v := *n.engine.view.Load()
+		before := owner.NewSizedMap(testSlots, []owner.Candidate{{Name: "former"}})
+		v.Moves = []Move{{At: w.now, Before: before, Holders: []netip.AddrPort{holder.data}}}
+		n.engine.SetView(&v)
+	}
+	name(a, b)
+	name(b, c)
+	name(c, b)
+	for _, at := range w.order {
+		is.True(w.open(at, w.callerOf(a)).IsValid())
+	}
+	is.Equal(b.refused(metrics.HopLimit)+c.refused(metrics.HopLimit), int64(0))
+}
+
 // Guards against new flows that are lost or refused while their slot moves.
 func TestNewFlowInMovedSlotOpensAtTheNewOwner(t *testing.T) {
 	is := is.New(t)
