Make bursts of member changes cheap

Cause: in trials with 200 members in one overloaded process, suspicions and refutations kept each other going, because each change sorted all members and cost one message on each link. Change: the table keeps its records in ring order, the index of addresses is built at the first look-up, and records that wait on a link go out in one message.

--- a/internal/member/detect.go
+++ b/internal/member/detect.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -120,14 +121,29 @@
 
 // forgetOld drops members that ended long ago and reports whether it did.
 func (t *Table) forgetOld(now time.Time) bool {
-	before := len(t.records)
-	for name, r := range t.records {
+	return t.forget(func(r *record) bool {
 		age := now.Sub(r.since)
-		if r.State == Left && age >= LeftRetention || r.State == Dead && age >= DeadRetention {
-			delete(t.records, name)
+		return r.State == Left && age >= LeftRetention || r.State == Dead && age >= DeadRetention
+	})
+}
+
+// forget drops the records for which gone holds and reports whether any did.
+func (t *Table) forget(gone func(*record) bool) bool {
+	before := len(t.ring)
+	t.ring = slices.DeleteFunc(t.ring, func(r *record) bool {
+		if gone(r) {
+			delete(t.records, r.Name)
+			return true
 		}
-	}
-	return len(t.records) < before
+		return false
+	})
+	return len(t.ring) < before
+}
+
+// ringPosition returns where a member belongs among records in ring order.
+func ringPosition(ring []*record, n Name) int {
+	i, _ := slices.BinarySearchFunc(ring, n, func(r *record, n Name) int { return compareRing(r.Name, n) })
+	return i
 }
 
 func (t *Table) logTransition(old State, m Member) {
--- a/internal/member/ring.go
+++ b/internal/member/ring.go
@@ -21,12 +21,7 @@
 // after calls visit for each member that follows n on the ring, until visit
 // returns false. n itself is skipped and need not be a member.
 func (v *View) after(n Name, visit func(Member) bool) {
-	count := len(v.Members)
-	hash := ringHash(n)
-	start, _ := slices.BinarySearchFunc(v.hashes, hash, cmp.Compare[uint64])
-	for start < count && compareRing(v.Members[start].Name, n) <= 0 {
-		start++
-	}
+	count, start := len(v.Members), v.position(n)
 	for i := range count {
 		m := v.Members[(start+i)%count]
 		if m.Name != n && !visit(m) {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,7 @@
 	mu       sync.Mutex
 	self     Member
 	records  map[Name]*record // all but self
+	ring     []*record        // the same in ring order
 	standing standing
 	// refutations limits how often this daemon raises its incarnation.
 	refutations *rate.Limiter
@@ -171,11 +173,11 @@
 
 // publish stores a new view and queues the callbacks. The lock must be held.
 func (t *Table) publish(changed []Member, from Name) {
-	members := make([]Member, 0, len(t.records)+1)
-	members = append(members, t.self)
-	for _, r := range t.records {
+	members := make([]Member, 0, len(t.ring)+1)
+	for _, r := range t.ring {
 		members = append(members, r.Member)
 	}
+	members = slices.Insert(members, ringPosition(t.ring, t.self.Name), t.self)
 	v := newView(t.self, members, t.standing.held)
 	t.view.Store(v)
 	t.pending = append(t.pending, notice{view: v, records: changed, from: from})
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -303,9 +303,9 @@
 		all = append(all, m)
 	}
 	all[1].State, all[2].State, all[3].State = Dead, Left, Leaving
-	reference := newView(all[0], slices.Clone(all), true)
+	reference := NewView(all[0], slices.Clone(all), true)
 	for _, self := range all {
-		v := newView(self, slices.Clone(all), true)
+		v := NewView(self, slices.Clone(all), true)
 		links := v.Successors()
 		is.Equal(len(links), LinkCount)
 		is.True(slices.ContainsFunc(links, func(m Member) bool { return m.Zone != self.Zone }))
@@ -330,11 +330,11 @@
 	for i := range 8 {
 		all = append(all, testMember(Name(fmt.Sprint("vm", i)), "z1"))
 	}
-	before := newView(all[0], slices.Clone(all), true).Successors()
+	before := NewView(all[0], slices.Clone(all), true).Successors()
 	for i := range all {
 		if all[i].Name == before[0].Name {
 			all[i].State = Suspect
 		}
 	}
-	is.Equal(len(newView(all[0], all, true).Successors()), LinkCount+1)
+	is.Equal(len(NewView(all[0], slices.Clone(all), true).Successors()), LinkCount+1)
 }
--- a/internal/member/update.go
+++ b/internal/member/update.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -94,6 +95,7 @@
 	r := &record{}
 	r.set(m, now)
 	t.records[m.Name] = r
+	t.ring = slices.Insert(t.ring, ringPosition(t.ring, m.Name), r)
 	return m, true
 }
 
@@ -165,14 +167,11 @@
 
 func (t *Table) prune(listed map[Name]bool, now time.Time) {
 	t.mu.Lock()
-	before := len(t.records)
-	for name, r := range t.records {
-		gone := r.ended() && now.Sub(r.since) >= RemovalDelay && now.Sub(r.heard) >= RemovalDelay
-		if gone && !listed[name] {
-			delete(t.records, name)
-		}
-	}
-	if len(t.records) < before {
+	forgotten := t.forget(func(r *record) bool {
+		return !listed[r.Name] && r.ended() &&
+			now.Sub(r.since) >= RemovalDelay && now.Sub(r.heard) >= RemovalDelay
+	})
+	if forgotten {
 		t.publish(nil, "")
 	}
 	t.mu.Unlock()
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -21,33 +22,35 @@
 	Standing bool
 
 	hashes []uint64 // ring positions of Members
-	byName map[Name]int
+	index  sync.Once
 	byData map[netip.AddrPort]int
 }
 
 // NewView returns a View of the given records, for code that has them from
 // elsewhere than a Table. It sorts members in place.
 func NewView(self Member, members []Member, standing bool) *View {
+	slices.SortFunc(members, func(a, b Member) int { return compareRing(a.Name, b.Name) })
 	return newView(self, members, standing)
 }
 
+// newView takes members in ring order. It is called for each change of a
+// record, so it leaves the index of addresses to the first look-up.
 func newView(self Member, members []Member, standing bool) *View {
-	v := &View{
-		Self: self, Members: members, Standing: standing,
-		hashes: make([]uint64, len(members)),
-		byName: make(map[Name]int, len(members)),
-		byData: make(map[netip.AddrPort]int, len(members)),
-	}
-	slices.SortFunc(members, func(a, b Member) int { return compareRing(a.Name, b.Name) })
+	v := &View{Self: self, Members: members, Standing: standing, hashes: make([]uint64, len(members))}
 	for i, m := range members {
 		v.hashes[i] = ringHash(m.Name)
-		v.byName[m.Name] = i
+	}
+	return v
+}
+
+func (v *View) indexData() {
+	v.byData = make(map[netip.AddrPort]int, len(v.Members))
+	for i, m := range v.Members {
 		// A live VM that took over the address of a dead one is found first.
-		if j, taken := v.byData[m.Data]; !taken || members[j].ended() {
+		if j, taken := v.byData[m.Data]; !taken || v.Members[j].ended() {
 			v.byData[m.Data] = i
 		}
 	}
-	return v
 }
 
 func ringHash(n Name) uint64 { return xxhash.Sum64String(string(n)) }
@@ -61,16 +64,26 @@
 
 // Get returns the record with this name.
 func (v *View) Get(n Name) (Member, bool) {
-	i, ok := v.byName[n]
-	if !ok {
+	i := v.position(n)
+	if i == len(v.Members) || v.Members[i].Name != n {
 		return Member{}, false
 	}
 	return v.Members[i], true
 }
 
+// position returns the index of n, or of the next member on the ring.
+func (v *View) position(n Name) int {
+	i, _ := slices.BinarySearch(v.hashes, ringHash(n))
+	for i < len(v.Members) && compareRing(v.Members[i].Name, n) < 0 {
+		i++
+	}
+	return i
+}
+
 // ByData returns the member with this data address, a live one if an address
 // was reused.
 func (v *View) ByData(a netip.AddrPort) (Member, bool) {
+	v.index.Do(v.indexData)
 	i, ok := v.byData[a]
 	if !ok {
 		return Member{}, false
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -160,8 +161,10 @@
 		case <-l.stopping:
 			return l.farewell()
 		case m := <-l.queue:
-			if err := l.stream.Send(m); err != nil {
-				return errors.Wrap(err, "send")
+			for _, m := range l.joinRecords(m) {
+				if err := l.stream.Send(m); err != nil {
+					return errors.Wrap(err, "send")
+				}
 			}
 		case <-ticker.C:
 			if l.missed.Add(1) > missedLimit {
@@ -175,6 +178,29 @@
 	}
 }
 
+// joinRecords puts the records that are queued behind m into one message, so
+// that a burst of changes costs peers few messages and few new views. It also
+// returns the message of another kind at which it stopped.
+func (l *link) joinRecords(m *peerapi.LinkMessage) []*peerapi.LinkMessage {
+	if m.GetMembers() == nil || len(l.queue) == 0 {
+		return []*peerapi.LinkMessage{m}
+	}
+	records := slices.Clone(m.GetMembers().GetRecords()) // other links share the message
+	for len(records) < recordsPerMessage {
+		select {
+		case next := <-l.queue:
+			if next.GetMembers() == nil {
+				return []*peerapi.LinkMessage{recordMessage(records), next}
+			}
+			records = append(records, next.GetMembers().GetRecords()...)
+			continue
+		default:
+		}
+		break
+	}
+	return []*peerapi.LinkMessage{recordMessage(records)}
+}
+
 // sendAllRecords sends every record if the peer lacks some.
 func (l *link) sendAllRecords() error {
 	if len(l.queue) > 0 || !l.resync.Swap(false) {
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -47,7 +47,12 @@
 		go func() { is.NoErr(l.write()) }()
 		close(s.release)
 		synctest.Wait()
-		is.Equal(len(s.sent), queueLength+1) // what was queued, and all records once
+		records := 0
+		for _, m := range s.sent {
+			records += len(m.GetMembers().GetRecords())
+		}
+		is.Equal(records, queueLength+1) // what was queued, and all records once
+		is.Equal(len(s.sent), queueLength/recordsPerMessage+1)
 		close(l.stopping)
 		synctest.Wait()
 		n.removeLink(l, nil)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -35,16 +35,21 @@
 	var out []*peerapi.LinkMessage
 	for len(members) > 0 {
 		count := min(len(members), recordsPerMessage)
-		update := &peerapi.MemberUpdate{Records: make([]*peerapi.MemberRecord, count)}
+		records := make([]*peerapi.MemberRecord, count)
 		for i, m := range members[:count] {
-			update.Records[i] = m.Record()
+			records[i] = m.Record()
 		}
-		out = append(out, &peerapi.LinkMessage{Kind: &peerapi.LinkMessage_Members{Members: update}})
+		out = append(out, recordMessage(records))
 		members = members[count:]
 	}
 	return out
 }
 
+func recordMessage(records []*peerapi.MemberRecord) *peerapi.LinkMessage {
+	update := &peerapi.MemberUpdate{Records: records}
+	return &peerapi.LinkMessage{Kind: &peerapi.LinkMessage_Members{Members: update}}
+}
+
 // handle acts on one message from the peer.
 func (l *link) handle(m *peerapi.LinkMessage) {
 	cfg := &l.node.cfg
