--- a/internal/edit/edit_test.go
+++ b/internal/edit/edit_test.go
@@ -320,6 +320,23 @@
 	is.True(stale.NotNewer())
 }
 
+// Guards against a reservation that ends too early because the clock of the
+// operator who made the change is behind that of the one before.
+func TestClockBehindTheLastChange(t *testing.T) {
+	is := is.New(t)
+	p := withPools(t, standin.Options{})
+	state := read(t, p)
+	ahead := time.Now().Add(time.Hour).UTC().Truncate(time.Millisecond)
+	head, err := state.Head.Append(tables.Delta{Version: 2, WriteID: "w", Time: ahead,
+		Operations: []tables.Operation{mapas(50)}})
+	is.NoErr(err)
+	_, err = p.Memory().Swap(t.Context(), tables.HeadKey, head.Encode(), 1)
+	is.NoErr(err)
+	_, err = editor(p.Memory(), "ana").Write(t.Context(), put(tables.DeleteServer{Pool: "mapas", Name: "m1"}))
+	is.NoErr(err)
+	is.Equal(read(t, p).Snapshot.Reservations()[0].Until, ahead.Add(tables.ReservationPeriod))
+}
+
 // Guards against a restored store whose tables no daemon accepts any more, or
 // only together with ids that the lost versions have used.
 func TestRenumberAfterRestore(t *testing.T) {
--- a/internal/store/budget_test.go
+++ b/internal/store/budget_test.go
@@ -57,7 +57,10 @@
 		p.LoseAnswers(1)
 		_, err := b.Swap(context.Background(), "k", []byte("a"), 0)
 		is.True(errors.Is(err, store.ErrUnknownOutcome))
-		is.Equal(p.Counts().Writes, 1)
+		p.SetSlow(time.Minute)
+		_, err = b.Swap(context.Background(), "l", []byte("a"), 0)
+		is.True(errors.Is(err, store.ErrUnknownOutcome))
+		is.Equal(p.Counts().Writes, 2)
 		is.Equal(m.Retries().Sum(), int64(0))
 	})
 }
--- a/internal/tables/head_test.go
+++ b/internal/tables/head_test.go
@@ -37,6 +37,7 @@
 		{"by count", 0, 0, MaxHeadDeltas + 10},
 		{"by bytes", 20, 20, 60},
 		{"by one large delta", 1000, 0, 3},
+		{"by large deltas", 1000, 1000, 4},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
@@ -62,6 +63,7 @@
 				is.NoErr(err)
 				_, again := h.CompactTo()
 				is.True(!again)
+				is.True(len(h.Deltas) <= MaxHeadDeltas/2)
 			}
 			is.True(compacted > 0)
 			h, err := DecodeHead(h.Encode())
