Ask servers with probes before an adopted TCP flow gets payload

Change: a TCP flow that was adopted without certain knowledge sends only a keepalive segment (RFC 9293, 3.8.4) to its supposed server. A RST leads to earlier defaults, then to a probe of every server of the service (32 at most); the ACK of the right one confirms the flow and the caller's retransmission follows. The fabric's ledger accepts payload-less ACK segments of a balancer, which cannot change a connection; the matrix now fails on payload at a second server and lets TCP flows break only when their server is gone.

Conclusion: TCP flows survive several balancer crashes at once in the matrix.

--- a/internal/flow/state.go
+++ b/internal/flow/state.go
@@ -52,6 +52,9 @@
 	// ResetPending: the caller's next segment is answered with a RST, because
 	// the flow is silent and its server is gone.
 	ResetPending
+	// Searching: no server is known to have this adopted flow, so all servers
+	// of its service are asked.
+	Searching
 	// finCaller, finServer: the caller or the server has sent a FIN.
 	finCaller
 	finServer
--- a/internal/forward/faults_test.go
+++ b/internal/forward/faults_test.go
@@ -17,10 +17,13 @@
 const (
 	// planned changes break nothing.
 	planned severity = iota
-	// crash breaks nothing when it is the only crash.
+	// crash breaks nothing when it is the only crash. Several crashes may break
+	// a UDP flow that is not on its default server; the server of a TCP flow is
+	// found by probes.
 	crash
-	// fatal faults may break the flow: the server or both daemons that know
-	// it are gone.
+	// doubleCrash is several crashes at once.
+	doubleCrash
+	// fatal faults may break the flow: its server is gone.
 	fatal
 )
 
@@ -48,7 +51,7 @@
 	{"owner crashes", crash, func(tr *trial) { tr.kill(tr.owner()) }},
 	{"backup crashes", crash, func(tr *trial) { tr.kill(tr.backup()) }},
 	{"owner pauses", crash, func(tr *trial) { tr.freeze(tr.owner()) }},
-	{"owner and backup crash", fatal, func(tr *trial) { owner, backup := tr.owner(), tr.backup(); tr.kill(owner); tr.kill(backup) }},
+	{"owner and backup crash", doubleCrash, func(tr *trial) { owner, backup := tr.owner(), tr.backup(); tr.kill(owner); tr.kill(backup) }},
 	{"server crashes", fatal, func(tr *trial) { tr.eachConnected(func(h *host) { h.down = true }) }},
 	{"server forgets the flow", fatal, func(tr *trial) { tr.eachConnected(func(h *host) { clear(h.conns) }) }},
 }
@@ -257,10 +260,24 @@
 
 // mayBreak reports whether the faults of the cell may break the flow.
 func (c cell) mayBreak() bool {
-	if c.first.severity == fatal || c.second.strike != nil && c.second.severity == fatal {
+	worst, crashes := planned, 0
+	for _, f := range c.faults() {
+		worst = max(worst, f.severity)
+		if f.severity == crash {
+			crashes++
+		}
+	}
+	if worst == fatal {
 		return true
 	}
-	return c.second.strike != nil && c.first.severity == crash && c.second.severity == crash
+	return c.protocol == tables.UDP && (worst == doubleCrash || crashes > 1)
+}
+
+func (c cell) faults() []fault {
+	if c.second.strike == nil {
+		return []fault{c.first}
+	}
+	return []fault{c.first, c.second}
 }
 
 func (c cell) run(t *testing.T) *trial {
--- a/internal/forward/matrix_test.go
+++ b/internal/forward/matrix_test.go
@@ -224,6 +224,10 @@
 		}
 		h.conns[tr.caller] = executed
 		tr.transmit(h.endpoint, tr.caller, openMessage)
+	case !known && tr.protocol == tables.TCP && k == request && tr.knownElsewhere():
+		tr.violate("P5: payload reached a second server")
+	case k == 0 && known:
+		tr.transmit(h.endpoint, tr.caller, 0) // answers a keepalive segment
 	case !known && tr.protocol == tables.TCP && k != reset:
 		tr.transmit(h.endpoint, tr.caller, reset)
 	case !known: // an unknown datagram is dropped
@@ -236,6 +240,16 @@
 	}
 }
 
+// knownElsewhere reports whether a server that is up has the flow.
+func (tr *trial) knownElsewhere() bool {
+	for _, h := range tr.hosts {
+		if _, known := h.conns[tr.caller]; known && !h.down {
+			return true
+		}
+	}
+	return false
+}
+
 func (tr *trial) execute(h *host, executed bool) {
 	if !executed {
 		tr.executions++
--- /dev/null
+++ b/internal/forward/probe.go
@@ -0,0 +1,77 @@
+package forward
+
+import (
+	"net/netip"
+	"slices"
+
+	"knapweedshore.example/internal/carrier"
+	"knapweedshore.example/internal/flow"
+	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/packet"
+	"knapweedshore.example/internal/tables"
+)
+
+// maxProbes bounds the servers that are asked about one segment.
+const maxProbes = 32
+
+// unproven reports whether a TCP flow was adopted without knowing its server
+// for certain. Its server gets no payload before it has answered a probe, so
+// that at most one server sees payload of a flow.
+func unproven(f *flow.Flow) bool {
+	return f.State() == flow.TCPEstablished && f.Has(flow.Adopted) && !f.Has(flow.Confirmed)
+}
+
+// probe asks the flow's supposed server, or after its RST all servers of the
+// service, whether they know the flow. The caller's retransmission follows the
+// answer.
+func (e *Engine) probe(j *job, f *flow.Flow) (metrics.Reason, bool) {
+	if !f.Has(flow.Searching) {
+		e.sendProbe(j, f.Endpoint())
+		return "", true
+	}
+	for _, s := range j.tables.allServers(f.Route()) {
+		e.sendProbe(j, s.Endpoint)
+	}
+	return "", true
+}
+
+func (e *Engine) sendProbe(j *job, to netip.AddrPort) {
+	start := len(j.out.built)
+	j.out.built = packet.AppendProbe(j.out.built, j.in.Inner, &j.info)
+	b := j.out.built[start:len(j.out.built):len(j.out.built)]
+	if len(b) == 0 {
+		return
+	}
+	var info packet.Info
+	if err := packet.Parse(b, &info); err != nil {
+		e.metrics.Refused(refusalOf(err))
+		return
+	}
+	packet.RewriteDestination(b, &info, to)
+	e.metrics.Count(metrics.ProbesSent, 1)
+	j.out.send(b, e.fabric(j), carrier.Hop{})
+}
+
+// allServers returns the servers that a flow of the route may be on, those of
+// earlier pools included.
+func (v *tableView) allServers(id tables.RouteID) []*tables.Server {
+	route, ok := v.RouteByID(id)
+	if !ok {
+		return nil
+	}
+	pools := v.earlier[id]
+	if pool, ok := v.Pool(route.Pool); ok {
+		pools = append([]*tables.Pool{pool}, pools...)
+	}
+	var out []*tables.Server
+	for _, p := range pools {
+		for i := range p.Servers {
+			s := &p.Servers[i]
+			known := slices.ContainsFunc(out, func(o *tables.Server) bool { return o.ID == s.ID })
+			if !known && len(out) < maxProbes {
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -45,6 +45,9 @@
 }
 
 func (e *Engine) toServer(j *job, f *flow.Flow) (metrics.Reason, bool) {
+	if unproven(f) {
+		return e.probe(j, f)
+	}
 	change := f.Observe(flow.FromCaller, &j.info, j.now)
 	e.learn(f, change, j)
 	packet.RewriteDestination(j.in.Inner, &j.info, f.Endpoint())
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -28,6 +28,8 @@
 // default server of an earlier version of the tables. The caller's
 // retransmission reaches it there.
 func (e *Engine) tryEarlierDefault(j *job, shard *flow.Shard, f *flow.Flow) {
+	// Without another default server, all servers are asked.
+	f.Set(flow.Searching)
 	route, ok := j.tables.RouteByID(f.Route())
 	if !ok {
 		return
@@ -40,6 +42,7 @@
 	if !ok || shard.Rebind(f, server.ID, server.Endpoint) != nil {
 		return
 	}
+	f.Clear(flow.Searching)
 	e.setDeviation(f, !e.onDefault(f, j.tables), j.now)
 }
 
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -80,6 +80,7 @@
 	ControlBytesSent    Reason = "control_bytes_sent"
 	ControlBytesReceive Reason = "control_bytes_received"
 	MembersDied         Reason = "members_died"
+	ProbesSent          Reason = "probes_sent"
 )
 
 var totalNames = []Reason{
@@ -87,4 +88,5 @@
 	FlowsClosed, FlowsExpired, FlowsDeviated, SilentFlows, Ejections,
 	ExceptionsSent, ExceptionsStored, ExceptionsHandover, TablesApplied,
 	StoreCalls, ControlBytesSent, ControlBytesReceive, MembersDied,
+	ProbesSent,
 }
--- a/standin/fabric/host/tcpreceive.go
+++ b/standin/fabric/host/tcpreceive.go
@@ -117,9 +117,13 @@
 	if p.Flags.Has(inet.ACK) {
 		c.acknowledge(p.Ack)
 	}
-	if len(p.Payload) > 0 || p.Flags.Has(inet.FIN) {
+	switch {
+	case len(p.Payload) > 0 || p.Flags.Has(inet.FIN):
 		c.take(p)
 		c.sendControl(inet.ACK, c.next)
+	case int32(p.Seq-c.expected) < 0:
+		// A keepalive segment (RFC 9293, section 3.8.4).
+		c.sendControl(inet.ACK, c.next)
 	}
 	if c.finSeen && c.finAcked {
 		c.linger()
--- a/standin/fabric/observe.go
+++ b/standin/fabric/observe.go
@@ -62,8 +62,10 @@
 
 func (l *Ledger) deliveredRequest(p *inet.Packet, record *sentPacket) {
 	if record == nil {
-		// Balancers may end a flow with a reset of their own.
-		if !bareReset(p) {
+		// Balancers may end a flow with a reset of their own, and ask with a
+		// keepalive segment whether a server knows a flow. Neither carries
+		// payload.
+		if !bareReset(p) && !keepalive(p) {
 			l.violate(AlteredRequest, FlowKey{p.Protocol, p.Src, p.Dst}, "packet at server %s was never sent", p.Dst)
 		}
 		return
@@ -177,6 +179,10 @@
 	return p.Protocol == inet.TCP && p.Flags.Has(inet.RST) && len(p.Payload) == 0
 }
 
+func keepalive(p *inet.Packet) bool {
+	return p.Protocol == inet.TCP && p.Flags == inet.ACK && len(p.Payload) == 0
+}
+
 func (l *Ledger) remember(id uint64) *sentPacket {
 	if r := l.find(id); r != nil {
 		return r
