Follow a restored store once it is newer

Cause: tables now know which history they belong to, and a watcher that met another history retried the same delta for ever. Change: a head of another history is refused at an equal version and loaded whole at a higher one, also from the empty base; invalid tables are logged once for each revision and not as a store failure.

--- a/internal/tablesync/harness_test.go
+++ b/internal/tablesync/harness_test.go
@@ -68,7 +68,11 @@
 // commit accepts one change.
 func (s *fakeStore) commit(t *testing.T) tables.Version {
 	s.set(func() {
-		next, err := s.head.Append(change(s.head.Version + 1))
+		d := change(s.head.Version + 1)
+		if ids := s.head.WriteIDs; len(ids) > 0 {
+			d.Previous = ids[len(ids)-1]
+		}
+		next, err := s.head.Append(d)
 		check(t, err)
 		s.head = next
 		s.revision++
--- a/internal/tablesync/syncer.go
+++ b/internal/tablesync/syncer.go
@@ -114,27 +114,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.current.Load()
-	next := old
-	if next == nil {
-		next = tables.Empty()
+	base := old
+	if base == nil {
+		base = tables.Empty()
 	}
-	var fresh []tables.Delta
-	for _, d := range deltas {
-		if d.Version <= next.Version() {
-			continue
-		}
-		if d.Version > next.Version()+1 {
-			return errGap
-		}
-		applied, err := next.Apply(d)
-		if err != nil {
-			return errors.Wrapf(err, "apply version %d", d.Version)
-		}
-		next = applied
-		fresh = append(fresh, d)
+	fresh := deltas
+	for len(fresh) > 0 && fresh[0].Version <= base.Version() {
+		fresh = fresh[1:]
 	}
-	if len(fresh) == 0 {
+	switch {
+	case len(fresh) == 0:
 		return nil
+	case fresh[0].Version > base.Version()+1:
+		return errGap
+	}
+	next, err := base.ApplyAll(fresh)
+	if err != nil {
+		return errors.Wrapf(err, "apply version %d", fresh[0].Version)
 	}
 	for _, d := range fresh {
 		s.recent.add(d.Version, d.Encode())
--- a/internal/tablesync/syncer_test.go
+++ b/internal/tablesync/syncer_test.go
@@ -186,6 +186,65 @@
 	})
 }
 
+// Guards against changes of a restored store that are applied to tables of the
+// lost history, and against a daemon that never gets to the new history. Here
+// the daemons also come from a base that only the store has.
+func TestRestoredStoreIsFollowedOnceItIsNewer(t *testing.T) {
+	inMesh(t, 9, func(t *testing.T, m *mesh) {
+		is := is.New(t)
+		m.store.commit(t)
+		backup := m.store.head
+		m.store.commit(t)
+		m.inForce(m.store.commit(t), inForceLimit)
+		lost := m.daemons[0].Current().Encode()
+
+		m.store.set(func() { m.store.head, m.store.revision = backup, 1 })
+		time.Sleep(rereadInterval + store.WatchWait)
+		m.store.commit(t)
+		m.store.commit(t) // version 3 of another history
+		time.Sleep(time.Second)
+		is.True(m.all(func(d *daemon) bool { return string(d.Current().Encode()) == string(lost) }))
+
+		m.inForce(m.store.commit(t), inForceLimit)
+		want, err := m.store.head.Replay(tables.Empty(), 4)
+		is.NoErr(err)
+		is.True(m.all(func(d *daemon) bool { return string(d.Current().Encode()) == string(want.Encode()) }))
+
+		base, err := want.Renumber(20, tables.NewWriteID()) // what the recover command does
+		is.NoErr(err)
+		m.store.set(func() {
+			m.store.values[tables.BaseKey(20)] = base.Encode()
+			m.store.head = &tables.Head{Version: 20, Base: 20}
+			m.store.revision++
+		})
+		m.inForce(20, inForceLimit)
+	})
+}
+
+// Guards against a head of another tool that stops the watch, fills the log or
+// comes into force.
+func TestInvalidHeadIsRefusedOnce(t *testing.T) {
+	inMesh(t, 3, func(t *testing.T, m *mesh) {
+		is := is.New(t)
+		m.inForce(m.store.commit(t), inForceLimit)
+		good := m.store.head
+		m.store.set(func() {
+			broken := change(2)
+			broken.Operations = []tables.Operation{tables.DeletePool{Name: "none"}}
+			m.store.head = &tables.Head{Version: 2, Deltas: append(append([]tables.Delta{}, good.Deltas...), broken)}
+			m.store.revision++
+		})
+		time.Sleep(time.Minute)
+		m.inForce(1, 0)
+		for _, d := range m.watchers() {
+			is.Equal(logged(d, events.TablesInvalid), 1)
+			is.Equal(logged(d, events.StoreDown), 0)
+		}
+		m.store.set(func() { m.store.head = good })
+		m.inForce(m.store.commit(t), inForceLimit)
+	})
+}
+
 // Guards against a version that goes back and callbacks out of order, whatever
 // changes and snapshots peers send in whatever order.
 func TestVersionNeverGoesBack(t *testing.T) {
--- a/internal/tablesync/watch.go
+++ b/internal/tablesync/watch.go
@@ -47,12 +47,17 @@
 	revision uint64         // of the head that was last handled
 	head     tables.Version // of that head
 	read     time.Time
-	regress  uint64 // revision of the head that was last refused
+	refused  uint64 // revision of the head that was last refused
 	failing  bool
 }
 
-// errNoTables means that nobody has written tables yet.
-var errNoTables = errors.New("store has no tables")
+// Answers of the store that bring no tables into force.
+var (
+	// errNoTables means that nobody has written tables yet.
+	errNoTables = errors.New("store has no tables")
+	// errInvalid means that the tables were refused and logged.
+	errInvalid = errors.New("store has invalid tables")
+)
 
 // watchStore watches the head while this daemon is a watcher of its zone, and
 // loads the tables if neither peers nor a watch have brought any.
@@ -106,7 +111,7 @@
 
 // noteStore logs when the store begins to fail and when it answers again.
 func (w *watcher) noteStore(err error) {
-	failing := err != nil && !errors.Is(err, errNoTables)
+	failing := err != nil && !errors.Is(err, errNoTables) && !errors.Is(err, errInvalid)
 	switch {
 	case failing && !w.failing:
 		w.cfg.Events.Log(events.StoreDown, zap.Error(err))
@@ -170,48 +175,47 @@
 func (w *watcher) handleHead(ctx context.Context, value store.Value, now time.Time) error {
 	head, err := tables.DecodeHead(value.Data)
 	if err != nil {
-		if value.Revision != w.regress {
-			w.reportInvalid(err, "store")
-			w.regress = value.Revision
-		}
-		return err
+		return w.refuseInvalid(err, value.Revision)
 	}
-	w.head = head.Version
-	have := w.Version()
-	if head.Version < have {
+	have, same := w.Version(), true
+	if current := w.Current(); current != nil {
+		same = head.SameHistory(current)
+	}
+	if head.Version < have || head.Version == have && !same {
+		w.head = 0 // confirms nothing
 		w.refuseRegressed(head.Version, value.Revision)
 		return nil
 	}
-	if deltas, ok := head.DeltasSince(have); ok {
-		if err := w.apply(deltas, "", w.peers); err != nil {
-			w.reportInvalid(err, "store")
-			return err
-		}
-	} else if err := w.load(ctx, head); err != nil {
+	w.head = head.Version
+	deltas, ok := head.DeltasSince(have)
+	if !ok || !same {
+		err = w.load(ctx, head, value.Revision)
+	} else if err = w.apply(deltas, "", w.peers); err != nil {
+		err = w.refuseInvalid(err, value.Revision)
+	}
+	if err != nil {
 		return err
 	}
 	w.confirm(head.Version, now)
 	return nil
 }
 
-// load reads the base that the head names and replays the deltas on it. The
-// last delta is flooded as news for peers, which then fetch what they lack.
-func (w *watcher) load(ctx context.Context, head *tables.Head) error {
-	call, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	value, err := w.cfg.Store.Get(call, tables.BaseKey(head.Base))
+// load reads the base that the head names and replays the deltas on it. It is
+// also the way to the history of a store that was restored from a backup, once
+// that has a higher version. The last delta is flooded as news for peers,
+// which then fetch what they lack.
+func (w *watcher) load(ctx context.Context, head *tables.Head, revision uint64) error {
+	data, err := w.readBase(ctx, head.Base)
 	if err != nil {
 		return errors.Wrapf(err, "read base %d", head.Base)
 	}
-	base, err := tables.Decode(value.Data)
+	base, err := tables.Decode(data)
 	if err != nil {
-		w.reportInvalid(err, "store")
-		return errors.Wrapf(err, "decode base %d", head.Base)
+		return w.refuseInvalid(errors.Wrapf(err, "base %d", head.Base), revision)
 	}
 	next, err := head.Replay(base, head.Version)
 	if err != nil {
-		w.reportInvalid(err, "store")
-		return err
+		return w.refuseInvalid(err, revision)
 	}
 	if w.replace(next) && len(head.Deltas) > 0 {
 		w.peers.FloodTables(head.Version, head.Deltas[len(head.Deltas)-1].Encode(), "")
@@ -219,13 +223,33 @@
 	return nil
 }
 
+// readBase returns a whole version; 0 is the empty one, which has no key.
+func (w *watcher) readBase(ctx context.Context, v tables.Version) ([]byte, error) {
+	if v == 0 {
+		return tables.Empty().Encode(), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	value, err := w.cfg.Store.Get(ctx, tables.BaseKey(v))
+	return value.Data, err
+}
+
+// refuseInvalid reports tables that cannot be used, once for each revision.
+func (w *watcher) refuseInvalid(err error, revision uint64) error {
+	if w.refused != revision {
+		w.reportInvalid(err, "store")
+	}
+	w.refused = revision
+	return errInvalid
+}
+
 // refuseRegressed reports a store that went back, once for each revision.
 func (w *watcher) refuseRegressed(v tables.Version, revision uint64) {
 	w.cfg.Metrics.Refused(metrics.TablesRegressed)
-	if w.regress == revision && w.regress != 0 {
+	if w.refused == revision && revision != 0 {
 		return
 	}
-	w.regress = revision
+	w.refused = revision
 	w.cfg.Events.Log(events.TablesRegressed,
 		zap.Uint64("store_version", uint64(v)), zap.Uint64("version", uint64(w.Version())))
 }
