Join bursts of member changes for callbacks

Cause: the packet path computes its slot map in the callback of each view; a burst of changes, as at the loss of a zone, could hold up the table's loop for over a second and cost the daemon its standing. Change: records are flooded first, and a view is left out of the callbacks if a newer one exists.

--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -83,8 +83,10 @@
 func (t *Table) View() *View { return t.view.Load() }
 
 // OnChange registers f, which is called after each change of the view, in
-// order. Callbacks must be short: one that takes as long as PauseLimit holds up
-// the table's loop and costs the daemon its standing. They may use the table.
+// order. A view is left out if a newer one exists before its turn, so that a
+// burst of changes costs slow callbacks only their last state. Callbacks must
+// be short: one that takes as long as PauseLimit holds up the table's loop and
+// costs the daemon its standing. They may use the table.
 func (t *Table) OnChange(f func(v *View)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -92,8 +94,9 @@
 }
 
 // OnRecords registers f, which is called in order with the records that
-// changed and are to be sent to the peers. from is the peer that sent them,
-// or empty if the change began here.
+// changed and are to be sent to the peers, before the callbacks of OnChange.
+// There may be none. from is the peer that sent them, or empty if the change
+// began here. f must not block.
 func (t *Table) OnRecords(f func(changed []Member, from Name)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -194,18 +197,18 @@
 	t.delivering = true
 	defer func() { t.delivering = false }()
 	for len(t.pending) > 0 {
-		n := t.pending[0]
-		t.pending = t.pending[1:]
+		notices := t.pending
+		t.pending = nil
 		onChange, onRecords := t.onChange, t.onRecords
 		t.mu.Unlock()
-		for _, f := range onChange {
-			f(n.view)
-		}
-		if len(n.records) > 0 {
+		for _, n := range notices {
 			for _, f := range onRecords {
 				f(n.records, n.from)
 			}
 		}
+		for _, f := range onChange {
+			f(notices[len(notices)-1].view)
+		}
 		t.mu.Lock()
 	}
 }
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -290,6 +290,29 @@
 	is.Equal(sizes, []int{2, 3, 4, 5})
 }
 
+// Guards against a burst of changes that calls a slow callback once for each,
+// and against records that are left out of it.
+func TestBurstsAreJoined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newTestTable(t, "a", "z1", false)
+		var sizes []int
+		records := 0
+		table.OnRecords(func(changed []Member, _ Name) { records += len(changed) })
+		table.OnChange(func(v *View) {
+			sizes = append(sizes, len(v.Members))
+			time.Sleep(time.Millisecond)
+		})
+		for i := range 9 {
+			go table.Apply("b", []Member{testMember(Name(fmt.Sprint("m", i)), "z1")})
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.True(len(sizes) <= 3 && sizes[len(sizes)-1] == 10)
+		is.Equal(records, 9)
+	})
+}
+
 // Guards against a ring without a link to another zone, and against daemons
 // that disagree on a backup or on the watchers.
 func TestRingLinksBackupsAndWatchers(t *testing.T) {
