Count only the time in which a server works on a flow

Open flows counted as load: sessions with pauses and UDP flows that nobody closes hid which servers were slow (busy time of a server did not follow its true utilisation at all).

Change: the policy is told when a server works on a flow: from the caller's request to the server's last packet, taken back to that packet when the end is noticed later. Connections are counted apart, for the limit. Datagrams below 64 bytes are taken for acknowledgements.

--- a/internal/balancer/upkeep.go
+++ b/internal/balancer/upkeep.go
@@ -11,9 +11,9 @@
 	upkeepInterval = 100 * time.Millisecond
 	// ageingPeriod is how long one pass over the flow table takes.
 	ageingPeriod = 10 * time.Second
-	// deactivateInterval is the period in which idle flows are taken off the
-	// load of their servers.
-	deactivateInterval = time.Second
+	// pauseInterval is the period in which idle flows are taken off the load of
+	// their servers, from the time on at which they became idle.
+	pauseInterval = 500 * time.Millisecond
 	// pruneInterval is the period in which old exceptions are dropped.
 	pruneInterval = time.Minute
 	// minimumAgeing is how many entries one step examines at least.
@@ -24,7 +24,7 @@
 func (b *Balancer) upkeepLoop(ctx context.Context) error {
 	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
-	lastDeactivate, lastPrune := time.Now(), time.Now()
+	lastPause, lastPrune := time.Now(), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -33,9 +33,9 @@
 		}
 		now := time.Now()
 		b.engine.Age(now, b.ageingLimit())
-		if now.Sub(lastDeactivate) >= deactivateInterval {
-			b.engine.Deactivate(now)
-			lastDeactivate = now
+		if now.Sub(lastPause) >= pauseInterval {
+			b.engine.PauseIdle(now)
+			lastPause = now
 		}
 		if now.Sub(lastPrune) >= pruneInterval {
 			b.prune(now)
--- a/internal/flow/state.go
+++ b/internal/flow/state.go
@@ -46,9 +46,15 @@
 	Deviated
 	// Replicated: the backup has acknowledged the flow's exception.
 	Replicated
-	// Inactive: the flow does not count as load of its server, because it has
-	// ended or has been idle for a while.
-	Inactive
+	// Waiting: the caller has sent a request, and the server has not responded
+	// to it.
+	Waiting
+	// Paused: the flow does not count as load of its server, because the server
+	// has nothing to do for it.
+	Paused
+	// Ended: the flow is closing and no longer counts as a connection of its
+	// server.
+	Ended
 	// ResetPending: the caller's next segment is answered with a RST, because
 	// the flow is silent and its server is gone.
 	ResetPending
--- a/internal/forward/changes.go
+++ b/internal/forward/changes.go
@@ -150,14 +150,10 @@
 	}
 }
 
-// Deactivate takes flows that have been idle for InactiveAfter off the load of
-// their servers.
-func (e *Engine) Deactivate(now time.Time) {
-	e.eachFlow(func(_ *flow.Shard, f *flow.Flow) {
-		if idle := f.Idle(now); idle >= InactiveAfter {
-			e.deactivate(f, now)
-		}
-	})
+// PauseIdle takes flows whose servers have nothing to do for them off the load
+// of these servers.
+func (e *Engine) PauseIdle(now time.Time) {
+	e.eachFlow(func(_ *flow.Shard, f *flow.Flow) { e.pauseIdle(f, now) })
 }
 
 // Owner returns the member that owns a slot, or "".
--- a/internal/forward/learn.go
+++ b/internal/forward/learn.go
@@ -7,18 +7,25 @@
 	"knapweedshore.example/internal/flow"
 	"knapweedshore.example/internal/metrics"
 	"knapweedshore.example/internal/selection"
+	"knapweedshore.example/internal/tables"
 )
 
-// InactiveAfter is how long a flow may be idle and still count as load of its
-// server. UDP flows have no end that a balancer can see.
-const InactiveAfter = 2 * time.Second
+const (
+	// PauseAfter is how long the server of a flow is silent before it counts
+	// as having nothing to do for it.
+	PauseAfter = 250 * time.Millisecond
+	// waitLimit ends the wait for a response that does not come.
+	waitLimit = 10 * time.Second
+	// minRequestDatagram is the length of the shortest datagram that counts as
+	// a request. Shorter ones are acknowledgements of QUIC in most cases.
+	minRequestDatagram = 64
+)
 
-// learn tells the policy what a packet has shown about the flow's server.
-func (e *Engine) learn(f *flow.Flow, change flow.Change, j *job) {
-	if f.Has(flow.Inactive) && f.State() != flow.TCPClosing {
-		f.Clear(flow.Inactive)
-		e.policy.Opened(f.Server(), j.now)
-	}
+// observe records a packet in the flow and tells the policy what it shows
+// about the flow's server.
+func (e *Engine) observe(f *flow.Flow, d flow.Direction, j *job) {
+	e.observeLoad(f, d, j)
+	change := f.Observe(d, &j.info, j.now)
 	if change == 0 {
 		return
 	}
@@ -28,16 +35,78 @@
 		e.policy.Answered(f.Server(), j.now.Sub(f.Opened()), j.now)
 	}
 	if change.Has(flow.BecameClosing) {
-		e.deactivate(f, j.now)
+		// What the caller sent after the server's last packet is no work.
+		e.end(f, j.now.Add(-f.SinceServer(j.now)))
+	}
+}
+
+// observeLoad counts the flow as load from the caller's request to the server's
+// last packet.
+func (e *Engine) observeLoad(f *flow.Flow, d flow.Direction, j *job) {
+	if f.Has(flow.Ended) || !isWork(j) {
+		return
+	}
+	if d == flow.FromCaller {
+		f.Set(flow.Waiting)
+	} else {
+		f.Clear(flow.Waiting)
+	}
+	if f.Has(flow.Paused) {
+		f.Clear(flow.Paused)
+		e.policy.Resumed(f.Server(), j.now)
+	}
+}
+
+// isWork reports whether the packet is part of a request or a response.
+func isWork(j *job) bool {
+	if j.info.Protocol == tables.TCP {
+		return j.info.PayloadLen > 0
+	}
+	return j.info.PayloadLen >= minRequestDatagram
+}
+
+// start counts a flow on its server. The handshake of TCP is no work.
+func (e *Engine) start(f *flow.Flow, now time.Time) {
+	e.policy.Opened(f.Server(), now)
+	f.Clear(flow.Paused)
+	if f.State() == flow.TCPOpening {
+		e.pause(f, now)
+	}
+}
+
+func (e *Engine) pause(f *flow.Flow, since time.Time) {
+	if f.Has(flow.Paused) || f.Has(flow.Ended) {
+		return
 	}
+	f.Set(flow.Paused)
+	e.policy.Paused(f.Server(), since)
 }
 
-// deactivate takes the flow off the load of its server, once.
-func (e *Engine) deactivate(f *flow.Flow, ended time.Time) {
-	if f.Has(flow.Inactive) {
+// pauseIdle pauses the flow if its server has nothing to do for it.
+func (e *Engine) pauseIdle(f *flow.Flow, now time.Time) {
+	silence := f.SinceServer(now)
+	if f.Has(flow.Waiting) {
+		if idle := f.Idle(now); idle >= waitLimit {
+			e.pause(f, now.Add(-idle))
+		}
 		return
 	}
-	f.Set(flow.Inactive)
+	if silence >= PauseAfter {
+		e.pause(f, now.Add(-silence))
+	}
+}
+
+// end takes the flow off its server's connections, once.
+func (e *Engine) end(f *flow.Flow, ended time.Time) {
+	if f.Has(flow.Ended) {
+		return
+	}
+	if f.Has(flow.Paused) {
+		// Closed ends a flow that counts as load.
+		e.policy.Resumed(f.Server(), ended)
+	}
+	f.Clear(flow.Paused)
+	f.Set(flow.Ended)
 	e.policy.Closed(f.Server(), f.Opened(), ended)
 }
 
@@ -88,7 +157,7 @@
 
 // release gives back what an ended flow holds in other packages.
 func (e *Engine) release(f *flow.Flow, now time.Time) {
-	e.deactivate(f, now)
+	e.end(f, now)
 	if f.Has(flow.Deviated) {
 		e.own.Close(f.Fingerprint())
 		e.held.Remove(f.Fingerprint())
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -48,8 +49,7 @@
 	if unproven(f) {
 		return e.probe(j, f)
 	}
-	change := f.Observe(flow.FromCaller, &j.info, j.now)
-	e.learn(f, change, j)
+	e.observe(f, flow.FromCaller, j)
 	packet.RewriteDestination(j.in.Inner, &j.info, f.Endpoint())
 	return e.deliver(j)
 }
@@ -146,7 +146,7 @@
 	}
 	e.held.Remove(f.Fingerprint())
 	e.metrics.Count(metrics.FlowsAdopted, 1)
-	e.policy.Opened(known.server, j.now)
+	e.start(f, j.now)
 	e.setDeviation(f, !e.onDefault(f, j.tables), j.now)
 	return f, true
 }
@@ -174,7 +174,7 @@
 		return openRefusal(err), false
 	}
 	e.metrics.Count(metrics.FlowsAdopted, 1)
-	e.policy.Opened(server.ID, j.now)
+	e.start(f, j.now)
 	e.setDeviation(f, !e.onDefault(f, j.tables), j.now)
 	return e.toServer(j, f)
 }
@@ -206,7 +206,7 @@
 		return e.refuse(j, openRefusal(err), settling)
 	}
 	e.metrics.Count(metrics.FlowsOpened, 1)
-	e.policy.Opened(choice.Server.ID, j.now)
+	e.start(f, j.now)
 	if !choice.Default {
 		e.metrics.Count(metrics.FlowsDeviated, 1)
 		e.deviate(f, entryOf(f), j)
@@ -283,11 +283,23 @@
 	if err != nil {
 		return
 	}
-	if err := shard.Rebind(f, choice.Server.ID, choice.Server.Endpoint); err != nil {
+	if !e.rebind(shard, f, choice.Server, j.now) {
 		return
 	}
 	e.metrics.Retried(metrics.ServerMoved)
-	e.policy.Closed(old, f.Opened(), j.now)
-	e.policy.Opened(choice.Server.ID, j.now)
 	e.setDeviation(f, !choice.Default, j.now)
 }
+
+// rebind moves a flow to another server, if the caller has no other flow there.
+func (e *Engine) rebind(shard *flow.Shard, f *flow.Flow, to *tables.Server, now time.Time) bool {
+	old, paused := f.Server(), f.Has(flow.Paused)
+	if shard.Rebind(f, to.ID, to.Endpoint) != nil {
+		return false
+	}
+	if paused {
+		e.policy.Resumed(old, now)
+	}
+	e.policy.Closed(old, f.Opened(), now)
+	e.start(f, now)
+	return true
+}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -39,7 +39,7 @@
 		return
 	}
 	server, ok := j.tables.defaultServer(f.Fingerprint(), route, pool, f.Server())
-	if !ok || shard.Rebind(f, server.ID, server.Endpoint) != nil {
+	if !ok || !e.rebind(shard, f, server, j.now) {
 		return
 	}
 	f.Clear(flow.Searching)
@@ -47,8 +47,7 @@
 }
 
 func (e *Engine) toCaller(j *job, f *flow.Flow) (metrics.Reason, bool) {
-	change := f.Observe(flow.FromServer, &j.info, j.now)
-	e.learn(f, change, j)
+	e.observe(f, flow.FromServer, j)
 	packet.RewriteSource(j.in.Inner, &j.info, f.Address().AddrPort)
 	return e.deliver(j)
 }
@@ -85,11 +84,9 @@
 		if !f.Has(flow.Adopted) || f.Has(flow.Confirmed) {
 			return metrics.AnswerUnknown, false
 		}
-		old := f.Server()
-		if err := shard.Rebind(f, server.ID, server.Endpoint); err != nil {
-			return openRefusal(err), false
+		if !e.rebind(shard, f, server, j.now) {
+			return metrics.ReverseConflict, false
 		}
-		e.policy.Closed(old, f.Opened(), j.now)
 	} else {
 		opened, err := shard.Open(flow.Opening{
 			Slot: j.slot, Caller: j.caller, Address: route.Address, Route: route.ID,
@@ -101,8 +98,8 @@
 		}
 		f = opened
 		e.metrics.Count(metrics.FlowsAdopted, 1)
+		e.start(f, j.now)
 	}
-	e.policy.Opened(server.ID, j.now)
 	f.Set(flow.PayloadSent)
 	e.setDeviation(f, !e.onDefault(f, j.tables), j.now)
 	return e.toCaller(j, f)
--- a/internal/selection/baselines.go
+++ b/internal/selection/baselines.go
@@ -184,6 +184,12 @@
 	b.share = fraction
 }
 
+// Paused implements Policy; every open flow counts.
+func (*Baseline) Paused(tables.ServerID, time.Time) {}
+
+// Resumed implements Policy; every open flow counts.
+func (*Baseline) Resumed(tables.ServerID, time.Time) {}
+
 // Answered implements Policy; response times are not used.
 func (*Baseline) Answered(tables.ServerID, time.Duration, time.Time) {}
 
--- a/internal/selection/chooser.go
+++ b/internal/selection/chooser.go
@@ -112,6 +112,24 @@
 	}
 }
 
+// Paused implements Policy.
+func (c *Chooser) Paused(id tables.ServerID, since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e, ok := c.index.servers[id]; ok {
+		e.server.pause(c.at(since))
+	}
+}
+
+// Resumed implements Policy.
+func (c *Chooser) Resumed(id tables.ServerID, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e, ok := c.index.servers[id]; ok {
+		e.server.resume(c.at(now))
+	}
+}
+
 // Closed implements Policy.
 func (c *Chooser) Closed(id tables.ServerID, _, ended time.Time) {
 	c.mu.Lock()
--- a/internal/selection/policy.go
+++ b/internal/selection/policy.go
@@ -36,6 +36,11 @@
 	// Closed reports the end of a flow that was reported to Opened. The end may
 	// have passed a while ago.
 	Closed(id tables.ServerID, opened, ended time.Time)
+	// Paused reports that the server has had nothing to do for an open flow
+	// since a time that may have passed.
+	Paused(id tables.ServerID, since time.Time)
+	// Resumed reports that the server works for a paused flow again.
+	Resumed(id tables.ServerID, now time.Time)
 	// Answered reports the delay of the first response of a flow.
 	Answered(id tables.ServerID, delay time.Duration, now time.Time)
 	// Failed reports a flow that the server did not accept.
--- a/internal/selection/report.go
+++ b/internal/selection/report.go
@@ -12,7 +12,7 @@
 type ServerReport struct {
 	Pool, Server string
 	ID           tables.ServerID
-	// Flows are the open flows that count as load.
+	// Flows are the open connections.
 	Flows   int
 	Ejected bool
 	// Utilisation is the decaying mean of busy flows for each slot.
--- a/internal/selection/server.go
+++ b/internal/selection/server.go
@@ -23,8 +23,9 @@
 // server is what this process has observed of one backend server. It is
 // guarded by the Chooser's lock.
 type server struct {
-	flows int
-	// busy is the decaying mean of flows, valid at busyAt.
+	// flows are the connections, working those that the server works for.
+	flows, working int
+	// busy is the decaying mean of working, valid at busyAt.
 	busy   float64
 	busyAt instant
 	// utilisation is busy for each slot, as of the pool's last tuning.
@@ -48,20 +49,34 @@
 }
 
 func (r *server) open(now instant) {
-	r.settle(now)
 	r.flows++
+	r.resume(now)
+}
+
+func (r *server) resume(now instant) {
+	r.settle(now)
+	r.working++
 }
 
 // close ends a flow at an instant that may have passed, because the end of an
 // idle flow is noticed late: what was counted since then is taken back. It
 // ignores a flow that was opened before the server was forgotten.
 func (r *server) close(ended instant) {
-	r.settle(ended)
 	if r.flows == 0 {
 		return
 	}
 	r.flows--
-	r.busy -= float64(r.busyAt-ended) / float64(BusyDecay)
+	r.pause(ended)
+}
+
+// pause is close for a flow that stays open.
+func (r *server) pause(since instant) {
+	r.settle(since)
+	if r.working == 0 {
+		return
+	}
+	r.working--
+	r.busy -= float64(r.busyAt-since) / float64(BusyDecay)
 }
 
 // settle brings busy up to now.
@@ -71,10 +86,10 @@
 	}
 }
 
-// busyNow returns the mean of flows weighted by exp(-age/BusyDecay).
+// busyNow returns the mean of working flows weighted by exp(-age/BusyDecay).
 func (r *server) busyNow(now instant) float64 {
 	kept := math.Exp(-float64(now-r.busyAt) / float64(BusyDecay))
-	return float64(r.flows) + (r.busy-float64(r.flows))*kept
+	return float64(r.working) + (r.busy-float64(r.working))*kept
 }
 
 // capacity returns the slots of the server, reduced while it is cold.
--- a/internal/selection/walk.go
+++ b/internal/selection/walk.go
@@ -9,8 +9,8 @@
 	share   float64
 	pool    *pool
 
-	// usable and full count servers; flows, capacity and weight sum the usable
-	// ones.
+	// usable and full count servers; flows (the working ones), capacity and
+	// weight sum the usable ones.
 	usable, full            int
 	flows, capacity, weight float64
 }
@@ -47,7 +47,7 @@
 		switch w.status(s, rec) {
 		case usable:
 			w.usable++
-			w.flows += float64(rec.flows)
+			w.flows += float64(rec.working)
 			w.capacity += rec.capacity(s, w.now)
 			w.weight += rec.weight(s, w.now)
 		case full:
@@ -77,7 +77,7 @@
 		if !takes {
 			continue
 		}
-		next := candidate{s, score * rec.correction * rec.warmth(w.now), float64(rec.flows) / rec.capacity(s, w.now)}
+		next := candidate{s, score * rec.correction * rec.warmth(w.now), float64(rec.working) / rec.capacity(s, w.now)}
 		better := best.precededBy(s, next.score) && w.withinBounds(s, rec)
 		lower := next.lessLoaded(least)
 		// Avoid is costly, and few servers get this far.
@@ -104,12 +104,12 @@
 	return w.request.Avoid != nil && w.request.Avoid(s)
 }
 
-// withinBounds bounds the open flows and the busy time. The bound of open flows
-// is the server's part of the slots or of the corrected weights, whichever is
-// higher: working flows follow the slots, idle ones follow the weights.
+// withinBounds bounds the working flows and the busy time. The bound of working
+// flows is the server's part of the slots or of the corrected weights, whichever is
+// higher, because flows that have ended unnoticed follow the weights.
 func (w *walk) withinBounds(s *tables.Server, rec *server) bool {
 	part := max(rec.capacity(s, w.now)/w.capacity, rec.weight(s, w.now)/w.weight)
-	if float64(rec.flows) > part*(BoundFactor*w.flows+float64(w.usable)) {
+	if float64(rec.working) > part*(BoundFactor*w.flows+float64(w.usable)) {
 		return false
 	}
 	return rec.utilisation <= BusyBoundFactor*max(0, w.pool.utilisation)*rec.warmth(w.now)
