--- /dev/null
+++ b/standin/scenario/scenario_test.go
@@ -0,0 +1,6 @@
+package scenario
+
+import "testing"
+
+// Guards against the failures that the comments of the scripts name.
+func TestScenarios(t *testing.T) { Run(t, "testdata") }
