Add the bench subcommand

The site gains hooks for these settings, for the policy of its daemons and for imbalance in windows of 0.5 s.

--- a/cmd/knapweedshored/app.go
+++ b/cmd/knapweedshored/app.go
@@ -16,6 +16,7 @@
   knapweedshored run --config /etc/knapweedshore/vm.ini
   knapweedshored dev
   knapweedshored dev --site quesada --seed 7 --output json
+  knapweedshored bench --site quesada --setting steady
 
 Exit codes:
   0  done
@@ -61,7 +62,7 @@
 		Suggest:               true,
 		Writer:                out,
 		ErrWriter:             errOut,
-		Commands:              []*cli.Command{runCommand(), checkCommand(), devCommand()},
+		Commands:              []*cli.Command{runCommand(), checkCommand(), devCommand(), benchCommand()},
 		Action:                missingCommand,
 		// run prints the error and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- /dev/null
+++ b/standin/bench/result.go
@@ -0,0 +1,123 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-faster/errors"
+
+	"knapweedshore.example/standin/caller"
+	"knapweedshore.example/standin/fabric"
+	"knapweedshore.example/standin/site"
+)
+
+const (
+	// The histogram takes latencies in µs; flows end before the longest one.
+	longestLatency    = 10 * time.Minute
+	significantDigits = 3
+)
+
+// Result is what one run measured.
+type Result struct {
+	Site    string `json:"site"`
+	Setting string `json:"setting"`
+	Policy  string `json:"policy"`
+
+	Opened    int `json:"opened"`
+	Skipped   int `json:"skipped"`
+	Completed int `json:"completed"`
+	// Refused and Broken count flows by reason.
+	Refused map[caller.Reason]int `json:"refused"`
+	Broken  map[caller.Reason]int `json:"broken"`
+	// BrokenUnplanned counts the broken flows that a crash explains,
+	// BrokenPlanned all others.
+	BrokenPlanned   int `json:"broken_planned"`
+	BrokenUnplanned int `json:"broken_unplanned"`
+	OpenAtCrash     int `json:"open_at_crash"`
+
+	Pools   []Pool  `json:"pools"`
+	Check   Latency `json:"check"`
+	Control Control `json:"control"`
+	// SecondHop is the share of packets that passed a second balancer.
+	SecondHop float64 `json:"second_hop_share"`
+	// Violations counts broken promises by promise.
+	Violations     map[fabric.Promise]int `json:"violations"`
+	ViolationCount int                    `json:"violation_count"`
+	LeaveError     string                 `json:"leave_error,omitempty"`
+}
+
+// Pool is the imbalance of one pool: over the run, and the 99th percentile of
+// its windows.
+type Pool struct {
+	Name      string  `json:"name"`
+	Imbalance float64 `json:"imbalance"`
+	WindowP99 float64 `json:"window_p99"`
+	Windows   int     `json:"windows"`
+}
+
+// Latency has percentiles of short requests.
+type Latency struct {
+	Requests int           `json:"requests"`
+	P50      time.Duration `json:"p50_ns"`
+	P99      time.Duration `json:"p99_ns"`
+	P999     time.Duration `json:"p999_ns"`
+}
+
+// Control has the control bytes sent per second over the daemons.
+type Control struct {
+	Mean float64 `json:"mean_bytes_per_second"`
+	Max  float64 `json:"max_bytes_per_second"`
+}
+
+func newResult(setting, policy string, s *site.Summary) (Result, error) {
+	check, err := newLatency(s.Flows.Checks)
+	if err != nil {
+		return Result{}, err
+	}
+	r := Result{
+		Site: s.Site, Setting: setting, Policy: policy,
+		Opened: s.Flows.Opened, Skipped: s.Flows.Skipped, Completed: s.Flows.Completed,
+		Refused: s.Flows.Refused, Broken: s.Flows.Broken,
+		BrokenPlanned:   total(s.Flows.Broken) - s.Flows.BrokenByCrash,
+		BrokenUnplanned: s.Flows.BrokenByCrash, OpenAtCrash: s.Flows.OpenAtCrash,
+		Check: check, Control: newControl(s.Balancers), SecondHop: s.SecondHopShare,
+		Violations: make(map[fabric.Promise]int), ViolationCount: s.ViolationCount, LeaveError: s.LeaveError,
+	}
+	for _, p := range s.Pools {
+		r.Pools = append(r.Pools, Pool{Name: p.Pool, Imbalance: p.Imbalance, WindowP99: p.WindowP99, Windows: p.Windows})
+	}
+	for _, v := range s.Violations {
+		r.Violations[v.Promise]++
+	}
+	return r, nil
+}
+
+func newLatency(values []time.Duration) (Latency, error) {
+	h := hdrhistogram.New(1, longestLatency.Microseconds(), significantDigits)
+	for _, v := range values {
+		if err := h.RecordValue(v.Microseconds()); err != nil {
+			return Latency{}, errors.Wrapf(err, "record latency %s", v)
+		}
+	}
+	at := func(percentile float64) time.Duration {
+		return time.Duration(h.ValueAtPercentile(percentile)) * time.Microsecond
+	}
+	return Latency{Requests: len(values), P50: at(50), P99: at(99), P999: at(99.9)}, nil
+}
+
+func newControl(daemons []site.BalancerSummary) Control {
+	var c Control
+	for _, d := range daemons {
+		c.Mean += d.ControlBytesPerSec / float64(len(daemons))
+		c.Max = max(c.Max, d.ControlBytesPerSec)
+	}
+	return c
+}
+
+func total(m map[caller.Reason]int) int {
+	n := 0
+	for _, c := range m {
+		n += c
+	}
+	return n
+}
--- /dev/null
+++ b/standin/bench/setting.go
@@ -0,0 +1,35 @@
+package bench
+
+import (
+	"github.com/go-faster/errors"
+
+	"knapweedshore.example/standin/site"
+)
+
+// Names of settings.
+const (
+	// Steady has no changes.
+	Steady = "steady"
+	// Rolling replaces all balancers one by one and drains a server.
+	Rolling = "rolling"
+	// Crash kills one balancer.
+	Crash = "crash"
+)
+
+// Settings returns the names of all settings.
+func Settings() []string { return []string{Steady, Rolling, Crash} }
+
+// apply sets what happens during a run.
+func apply(setting string, c *site.Config) error {
+	switch setting {
+	case Steady:
+		c.Still = true
+	case Rolling:
+		c.Changes = site.Rolling
+	case Crash:
+		c.Changes = site.Crash
+	default:
+		return errors.Errorf("no setting %q", setting)
+	}
+	return nil
+}
--- a/standin/site/changes.go
+++ b/standin/site/changes.go
@@ -46,11 +46,24 @@
 	killAfter  = 0.7
 )
 
-// change carries out the planned changes and the crash.
+// change carries out the changes of the configuration.
 func (r *run) change(ctx context.Context) error {
-	if r.config.Still {
+	switch {
+	case r.config.Still:
+		return nil
+	case r.config.Changes == Rolling:
+		return r.replaceAll(ctx)
+	case r.config.Changes == Crash:
+		if sleepUntil(ctx, r.started.Add(time.Duration(float64(r.config.Duration)*crashAfter))) {
+			return r.kill(ctx)
+		}
 		return nil
 	}
+	return r.changeInTurn(ctx)
+}
+
+// changeInTurn carries out all kinds of changes, the crash last.
+func (r *run) changeInTurn(ctx context.Context) error {
 	var leave conc.WaitGroup
 	defer leave.Wait()
 	for _, c := range []struct {
@@ -58,7 +71,7 @@
 		do    func(ctx context.Context) error
 	}{
 		{drainAfter, r.drain},
-		{leaveAfter, func(ctx context.Context) error { leave.Go(func() { r.leave(ctx) }); return nil }},
+		{leaveAfter, func(ctx context.Context) error { leave.Go(func() { r.leave(ctx, r.member(0)) }); return nil }},
 		{joinAfter, r.join},
 		{killAfter, r.kill},
 	} {
@@ -89,10 +102,9 @@
 	return nil
 }
 
-// leave lets the first balancer leave. The fabric hears of it late.
-func (r *run) leave(ctx context.Context) {
-	m := r.member(0)
-	r.note(func(c *changeTimes) { c.leaveBegan = time.Now() })
+// leave lets a balancer leave. The fabric hears of it late.
+func (r *run) leave(ctx context.Context, m *instance) {
+	r.note((*changeTimes).beginLeave)
 	r.setState(m, leaving)
 	r.report("balancer %q leaves", m.vm.Name)
 	stop := time.AfterFunc(fabricLag, func() { r.environment.fabric.RemoveBalancer(m.balancer.DataAddress()) })
@@ -100,7 +112,7 @@
 	if stop.Stop() {
 		r.environment.fabric.RemoveBalancer(m.balancer.DataAddress())
 	}
-	r.note(func(c *changeTimes) { c.leaveEnded, c.leaveErr = time.Now(), err })
+	r.note(func(c *changeTimes) { c.endLeave(err) })
 	if err != nil {
 		r.report("balancer %q did not leave in order: %v", m.vm.Name, err)
 		return
@@ -109,9 +121,11 @@
 	r.report("balancer %q has left", m.vm.Name)
 }
 
-func (r *run) join(ctx context.Context) error {
-	first := r.config.Site.VMs[0]
-	vm := VM{Name: first.Name + "-new", Zone: first.Zone, Capacity: first.Capacity}
+// join starts the replacement of the first balancer.
+func (r *run) join(ctx context.Context) error { return r.startReplacement(ctx, r.config.Site.VMs[0]) }
+
+func (r *run) startReplacement(ctx context.Context, old VM) error {
+	vm := VM{Name: old.Name + "-new", Zone: old.Zone, Capacity: old.Capacity}
 	m, err := r.startBalancer(ctx, vm)
 	if err != nil {
 		return errors.Wrap(err, "join")
--- a/standin/site/daemons.go
+++ b/standin/site/daemons.go
@@ -13,6 +13,7 @@
 	"knapweedshore.example/internal/balancer"
 	"knapweedshore.example/internal/member"
 	"knapweedshore.example/internal/peer"
+	"knapweedshore.example/internal/selection"
 	"knapweedshore.example/internal/settings"
 	"knapweedshore.example/internal/store"
 	"knapweedshore.example/internal/tables"
@@ -41,6 +42,7 @@
 	store     *standinstore.Platform
 	authority *peer.Authority
 	workers   conc.WaitGroup
+	policy    func() selection.Policy
 
 	mu      sync.Mutex
 	running []*daemon
@@ -136,10 +138,14 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "issue keys for %q", vm.Name)
 	}
-	b, err := balancer.New(balancer.Options{
+	options := balancer.Options{
 		Settings: d.settings(vm, fabric), Store: d.store.Memory(), Logger: d.log,
 		Credentials: credentials, LeavePeriod: leavePeriod,
-	})
+	}
+	if d.policy != nil {
+		options.Policy = d.policy()
+	}
+	b, err := balancer.New(options)
 	if err != nil {
 		return nil, errors.Wrapf(err, "build balancer %q", vm.Name)
 	}
--- a/standin/site/run.go
+++ b/standin/site/run.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"knapweedshore.example/internal/selection"
 	"knapweedshore.example/standin/backend"
 )
 
@@ -24,6 +25,9 @@
 	fabricLag = time.Second
 	// warmUp is the part of the duration that imbalance leaves out.
 	warmUp = 0.2
+	// window is the time over which one value of PoolSummary.WindowP99 is
+	// taken: several times the slowest server's longest slot time (100 ms).
+	window = 500 * time.Millisecond
 )
 
 // Config is what Run needs.
@@ -40,6 +44,11 @@
 	Logger *zap.Logger
 	// Still leaves out all changes and the crash.
 	Still bool
+	// Changes are those of a run that is not Still.
+	Changes Changes
+	// Policy makes the choice of servers of each daemon; nil leaves them their
+	// own. It does not apply to a replaced Platform.
+	Policy func() selection.Policy
 }
 
 // run is one run of a site.
@@ -58,6 +67,7 @@
 	busyFrom map[string]map[string]backend.Stats
 	busyTo   map[string]map[string]backend.Stats
 	measured time.Duration
+	windows  []map[string]map[string]backend.Stats
 }
 
 // Run assembles the site, runs its workload with the changes, and reports.
@@ -96,6 +106,7 @@
 		if err != nil {
 			return nil, err
 		}
+		daemons.policy = c.Policy
 		r.platform = daemons
 	}
 	var err error
@@ -181,13 +192,20 @@
 		return
 	}
 	began, first := time.Now(), r.serverStats()
+	samples := []map[string]map[string]backend.Stats{first}
+	for end := r.started.Add(d); time.Until(end) > window; {
+		if !sleepUntil(ctx, began.Add(time.Duration(len(samples))*window)) {
+			return
+		}
+		samples = append(samples, r.serverStats())
+	}
 	if !sleepUntil(ctx, r.started.Add(d)) {
 		return
 	}
 	last := r.serverStats()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.busyFrom, r.busyTo, r.measured = first, last, time.Since(began)
+	r.busyFrom, r.busyTo, r.measured, r.windows = first, last, time.Since(began), samples
 }
 
 func (r *run) serverStats() map[string]map[string]backend.Stats {
--- a/standin/site/summary.go
+++ b/standin/site/summary.go
@@ -58,8 +58,8 @@
 	// first one of an HTTP/3 flow.
 	CheckP50 time.Duration `json:"check_p50_ns"`
 	CheckP99 time.Duration `json:"check_p99_ns"`
-
-	checks []time.Duration
+	// Checks has the latency of every check, sorted.
+	Checks []time.Duration `json:"-"`
 }
 
 // PoolSummary is the load of one pool.
@@ -68,7 +68,11 @@
 	// Imbalance is the maximum over the mean of the servers' utilisation, the
 	// mean weighted by their speeds: 1 is a perfect distribution of the same
 	// work. A draining server does not count.
-	Imbalance float64         `json:"imbalance"`
+	Imbalance float64 `json:"imbalance"`
+	// WindowP99 is the 99th percentile of the imbalance in windows of 0.5 s, of
+	// which Windows had work; with fewer than 100 it is their maximum.
+	WindowP99 float64         `json:"window_p99"`
+	Windows   int             `json:"windows"`
 	Servers   []ServerSummary `json:"servers"`
 }
 
@@ -166,7 +170,7 @@
 	}
 	for i, latency := range r.Latencies {
 		if r.Requests[i].Operation == backend.Check {
-			f.checks = append(f.checks, latency)
+			f.Checks = append(f.Checks, latency)
 		}
 	}
 }
@@ -179,17 +183,16 @@
 }
 
 func (f *Flows) setPercentiles() {
-	if len(f.checks) == 0 {
+	if len(f.Checks) == 0 {
 		return
 	}
-	slices.Sort(f.checks)
-	f.CheckP50 = f.checks[len(f.checks)/2]
-	f.CheckP99 = f.checks[len(f.checks)*99/100]
+	slices.Sort(f.Checks)
+	f.CheckP50 = f.Checks[len(f.Checks)/2]
+	f.CheckP99 = f.Checks[len(f.Checks)*99/100]
 }
 
 func (r *run) pool(s Service) PoolSummary {
 	p := PoolSummary{Pool: s.Name}
-	var highest, work, speed float64
 	for _, server := range s.Servers {
 		from, to := r.busyFrom[s.Name][server.Name], r.busyTo[s.Name][server.Name]
 		summary := ServerSummary{
@@ -200,15 +203,9 @@
 			summary.Utilisation = float64(to.Busy-from.Busy) / float64(r.measured) / backend.DefaultSlots
 		}
 		p.Servers = append(p.Servers, summary)
-		if !summary.Drained {
-			highest = max(highest, summary.Utilisation)
-			work += summary.Utilisation * server.Speed
-			speed += server.Speed
-		}
-	}
-	if work > 0 {
-		p.Imbalance = highest / (work / speed)
 	}
+	p.Imbalance = p.imbalance(r.busyFrom[s.Name], r.busyTo[s.Name])
+	p.setWindows(r.windows)
 	return p
 }
 
