Let QUIC flows that open choose their server while a slot settles

Change: a datagram that starts like a QUIC packet with a long header (RFC 8999) opens a flow and is balanced like any other. All other datagrams keep the rule.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -13,6 +13,7 @@
 	"knapweedshore.example/internal/metrics"
 	"knapweedshore.example/internal/owner"
 	"knapweedshore.example/internal/packet"
+	"knapweedshore.example/internal/selection"
 	"knapweedshore.example/internal/tables"
 )
 
@@ -345,7 +346,39 @@
 	for i := 0; !w.nodes["a"].engine.view.Load().settling(slotOf(tables.UDP, moved), w.now); i++ {
 		moved = callerAt(i)
 	}
-	w.none(n, datagram(moved, udpService.AddrPort)) // may belong to an established flow
+	w.none(n, datagramOf(moved, udpService.AddrPort, 100, otherForm)) // may belong to an established flow
+	is.True(w.one(n, datagramOf(moved, udpService.AddrPort, 100, longForm)).icmp)
+}
+
+// Guards against new QUIC flows that go to a server beyond its share because
+// they might be established ones, and against other UDP flows that leave the
+// default server while their slot settles.
+func TestOnlyAmbiguousDatagramsStayOnTheDefaultServer(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, "a", "b")
+	w.policy = func() selection.Policy { return deviating{selection.NewRendezvous()} }
+	c := w.add("c")
+	w.refreshNode(c, false)
+	w.refresh()
+	w.services()
+	pool, _ := w.tables.Pool("mapas")
+	off := map[byte]int{}
+	for i := range 3000 {
+		caller := callerAt(i)
+		if w.ownerOf(tables.UDP, caller) != c {
+			continue
+		}
+		first := byte(longForm)
+		if i%2 == 0 {
+			first = otherForm
+		}
+		normal, _ := selection.Default(flow.Fingerprint(caller, udpService), pool)
+		if w.one(c, datagramOf(caller, udpService.AddrPort, 100, first)).dst != normal.Endpoint {
+			off[first]++
+		}
+	}
+	is.Equal(off[otherForm], 0)
+	is.True(off[longForm] > 100) // the policy puts every second flow elsewhere
 }
 
 // Guards against a daemon that decides after a pause in which others have taken
--- a/internal/forward/matrix_test.go
+++ b/internal/forward/matrix_test.go
@@ -135,7 +135,11 @@
 
 func (tr *trial) build(src, dst netip.AddrPort, k kind) []byte {
 	if tr.protocol == tables.UDP {
-		return datagramOf(src, dst, int(k)*10, k == openMessage)
+		first := byte(shortForm)
+		if k == openMessage {
+			first = longForm
+		}
+		return datagramOf(src, dst, int(k)*10, first)
 	}
 	fromServer := dst == tr.caller
 	switch {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -103,11 +103,28 @@
 	return j.view.settling(j.slot, j.now) && shortHeader(j.payload())
 }
 
+// Bits of the first byte of a QUIC packet (RFC 8999 and RFC 9000).
+const (
+	quicLongForm = 0x80
+	quicFixedBit = 0x40
+)
+
 // shortHeader reports whether a UDP payload starts like a QUIC packet with a
 // short header, which only established connections send.
 func shortHeader(payload []byte) bool {
-	const form, fixed = 0x80, 0x40
-	return len(payload) > 0 && payload[0]&form == 0 && payload[0]&fixed != 0
+	return len(payload) > 0 && payload[0]&(quicLongForm|quicFixedBit) == quicFixedBit
+}
+
+// longHeader reports whether a UDP payload starts like a QUIC packet with a
+// long header, which connections send only while they open.
+func longHeader(payload []byte) bool {
+	return len(payload) > 0 && payload[0]&(quicLongForm|quicFixedBit) == quicLongForm|quicFixedBit
+}
+
+// mayBeEstablished reports whether the packet of an unknown UDP flow may belong
+// to one that was opened at another owner. Such a flow takes its default server.
+func (j *job) mayBeEstablished() bool {
+	return j.info.Protocol == tables.UDP && !longHeader(j.payload()) && j.view.settling(j.slot, j.now)
 }
 
 // predecessor returns the member to ask about an unknown flow first.
@@ -184,7 +201,7 @@
 	if !e.newFlows.AllowN(j.now, 1) {
 		return metrics.NewFlowRate, false
 	}
-	settling := j.info.Protocol == tables.UDP && j.view.settling(j.slot, j.now)
+	settling := j.mayBeEstablished()
 	affordable := e.own.Affordable(j.now)
 	if !affordable {
 		e.metrics.Refused(metrics.ExceptionBudget)
--- a/internal/forward/world_test.go
+++ b/internal/forward/world_test.go
@@ -270,16 +270,19 @@
 	return serialize(src, dst, layers.IPProtocolTCP, tcp, tcp, make([]byte, payload))
 }
 
-func datagram(src, dst netip.AddrPort) []byte { return datagramOf(src, dst, 100, true) }
+func datagram(src, dst netip.AddrPort) []byte { return datagramOf(src, dst, 100, longForm) }
+
+// First bytes of datagrams: QUIC packets with a long and with a short header,
+// and a protocol that is not QUIC.
+const (
+	longForm  = 0xc0
+	shortForm = 0x40
+	otherForm = 0x00
+)
 
-// datagramOf returns a datagram that starts like a QUIC packet with a long
-// header if it opens a flow, and with a short one otherwise.
-func datagramOf(src, dst netip.AddrPort, payload int, opens bool) []byte {
+func datagramOf(src, dst netip.AddrPort, payload int, first byte) []byte {
 	content := make([]byte, payload)
-	content[0] = 0x40
-	if opens {
-		content[0] = 0xc0
-	}
+	content[0] = first
 	udp := &layers.UDP{SrcPort: layers.UDPPort(src.Port()), DstPort: layers.UDPPort(dst.Port())}
 	return serialize(src, dst, layers.IPProtocolUDP, udp, udp, content)
 }
