Leave handshakes out of the work of a server

Cause: a QUIC handshake of several round trips counted as work, the same for fast and slow servers.

Change: a flow is load from its first request on; datagrams with a long header before the server has responded do not count.

--- a/internal/forward/learn.go
+++ b/internal/forward/learn.go
@@ -43,7 +43,7 @@
 // observeLoad counts the flow as load from the caller's request to the server's
 // last packet.
 func (e *Engine) observeLoad(f *flow.Flow, d flow.Direction, j *job) {
-	if f.Has(flow.Ended) || !isWork(j) {
+	if f.Has(flow.Ended) || !isWork(f, j) {
 		return
 	}
 	if d == flow.FromCaller {
@@ -57,21 +57,20 @@
 	}
 }
 
-// isWork reports whether the packet is part of a request or a response.
-func isWork(j *job) bool {
+// isWork reports whether the packet is part of a request or a response. The
+// handshakes of TCP and QUIC take no time of the server worth counting.
+func isWork(f *flow.Flow, j *job) bool {
 	if j.info.Protocol == tables.TCP {
 		return j.info.PayloadLen > 0
 	}
-	return j.info.PayloadLen >= minRequestDatagram
+	return j.info.PayloadLen >= minRequestDatagram && (f.Has(flow.Confirmed) || !longHeader(j.payload()))
 }
 
-// start counts a flow on its server. The handshake of TCP is no work.
+// start counts a flow on its server. It is load from its first request on.
 func (e *Engine) start(f *flow.Flow, now time.Time) {
 	e.policy.Opened(f.Server(), now)
 	f.Clear(flow.Paused)
-	if f.State() == flow.TCPOpening {
-		e.pause(f, now)
-	}
+	e.pause(f, now)
 }
 
 func (e *Engine) pause(f *flow.Flow, since time.Time) {
