--- /dev/null
+++ b/internal/peer/cost_bench_test.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"knapweedshore.example/peerapi"
+)
+
+// BenchmarkControlCost measures the bytes, the processor time and the memory of
+// one daemon's members and links while nothing changes. Wall time is spent on
+// waiting only.
+//
+//	go test -run '^$' -bench ControlCost -benchtime 1x ./peer
+func BenchmarkControlCost(b *testing.B) {
+	const window = 15 * time.Second
+	for _, members := range []int{4, 8, 16, 32} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			heap, stacks := memory()
+			c := newCluster(b, nil)
+			c.startZones(members, "z1", "z2", "z3")
+			within(b, 20*time.Second, "all members know all", func() bool { return agree(c.nodes, c.nodes) })
+			time.Sleep(meetLinkLife + time.Second) // until links to the contact have ended
+			bytes, cpu, started := c.controlBytes(), processorTime(b), time.Now()
+			for range b.N {
+				time.Sleep(window)
+			}
+			after, took := c.controlBytes(), time.Since(started).Seconds()
+			perDaemon := took * float64(members)
+			b.ReportMetric(float64(after[0]-bytes[0])/perDaemon, "sent-B/s")
+			b.ReportMetric(float64(after[1]-bytes[1])/perDaemon, "received-B/s")
+			b.ReportMetric(100*(processorTime(b)-cpu).Seconds()/perDaemon, "core-%")
+			heapNow, stacksNow := memory()
+			b.ReportMetric((heapNow-heap)/float64(members)/1024, "heap-KB")
+			b.ReportMetric((stacksNow-stacks)/float64(members)/1024, "stack-KB")
+			links := 0
+			for _, n := range c.nodes {
+				links += n.linkCount()
+			}
+			b.ReportMetric(float64(links)/float64(members), "links")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// processorTime returns what the process has used in user and system mode.
+func processorTime(b *testing.B) time.Duration {
+	var u unix.Rusage
+	check(b, unix.Getrusage(unix.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func memory() (heap, stacks float64) {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc), float64(m.StackInuse)
+}
+
+// BenchmarkBatchOnTheWire reports the bytes of one batch of exceptions with its
+// acknowledgement, including drpc and TLS, and the processor time of both ends.
+func BenchmarkBatchOnTheWire(b *testing.B) {
+	for _, entries := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint("entries=", entries), func(b *testing.B) {
+			c := newCluster(b, nil)
+			c.startZones(2, "z1", "z2")
+			within(b, 20*time.Second, "both members know each other", func() bool { return agree(c.nodes, c.nodes) })
+			batch := &peerapi.ExceptionBatch{Owner: string(c.nodes[0].name), Incarnation: 1 << 41}
+			for i := range entries {
+				batch.Added = append(batch.Added, &peerapi.Exception{Fingerprint: uint64(i), RouteId: 1 << 18, ServerId: 1 << 18, Slot: 1 << 15})
+			}
+			put := func() {
+				_, err := c.nodes[0].PutExceptions(b.Context(), c.nodes[1].name, batch)
+				check(b, err)
+			}
+			put() // opens the connection
+			bytes, cpu := c.controlBytes(), processorTime(b)
+			for b.Loop() {
+				put()
+			}
+			after := c.controlBytes()
+			b.ReportMetric(float64(after[0]-bytes[0])/float64(b.N), "sent-B")
+			b.ReportMetric(float64((processorTime(b)-cpu).Microseconds())/float64(b.N), "cpu-µs")
+		})
+	}
+}
