Wait for the hand-over, log overload, ignore unasked answers

Cause: a leaving daemon ended 30 s after its announcement even if its paced hand-over had not finished; events 410 and 411 were in the catalogue and never logged; a forged hop option could name the server of another service, or one of another IP version, on which the rewriting panics.

Change: Leave waits for the hand-over (6 minutes at most) and then for the leave period; refusals for a full table or the flow rate are logged once a minute; the answer of a predecessor counts only while this daemon asks predecessors, and its server must have the caller's IP version.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -68,12 +68,14 @@
 	tracker *forward.Tracker
 	conns   []carrier.Conn
 
-	moved    chan struct{}
-	reassess chan struct{}
-	stop     context.CancelFunc
-	stopOnce sync.Once
-	running  atomic.Bool
-	done     chan struct{}
+	moved chan struct{}
+	// unfinished counts the hand-overs that are due or running.
+	unfinished atomic.Int32
+	reassess   chan struct{}
+	stop       context.CancelFunc
+	stopOnce   sync.Once
+	running    atomic.Bool
+	done       chan struct{}
 }
 
 // New opens the daemon's sockets and builds its parts. The caller must call
@@ -301,15 +303,21 @@
 	return err
 }
 
+// maxHandOver bounds the wait for the hand-over of a leaving daemon: 300,000
+// quiet flows take 6 minutes at the pace of 20 KB/s, but most flows move with
+// their packets.
+const maxHandOver = 6 * time.Minute
+
 // Leave ends the daemon without cutting a flow: its slots go to the other
-// members, its exceptions to the new owners, and it forwards for the leave
-// period. It returns early if ctx ends.
+// members and its flows to the new owners, and it forwards for the leave period
+// after that. It returns early if ctx ends.
 func (b *Balancer) Leave(ctx context.Context) error {
 	b.log.Log(events.DaemonLeaving)
 	if err := b.node.AnnounceLeaving(ctx); err != nil {
 		// Peers that did not hear it find out when the links end.
 		b.log.Log(events.LinkLost, zap.String("step", "announce leaving"), zap.Error(err))
 	}
+	b.awaitHandOver(ctx)
 	select {
 	case <-time.After(b.leaving):
 	case <-ctx.Done():
@@ -319,6 +327,22 @@
 	return err
 }
 
+// awaitHandOver waits until the new owners know the flows of this daemon.
+func (b *Balancer) awaitHandOver(ctx context.Context) {
+	const interval = 100 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, maxHandOver)
+	defer cancel()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for b.unfinished.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Kill closes all sockets at once, as a crash would.
 func (b *Balancer) Kill() {
 	b.closeData()
--- a/internal/balancer/members.go
+++ b/internal/balancer/members.go
@@ -20,9 +20,12 @@
 	b.engine.SetView(view)
 	b.policy.SetShare(float64(view.Map.Count(view.Self)) / owner.Slots)
 	b.chooseBackup(v)
+	b.unfinished.Add(1)
 	select {
 	case b.moved <- struct{}{}:
-	default: // a hand-over is due already and will use the newest view
+	default:
+		// A hand-over is due already and will use the newest view.
+		b.unfinished.Add(-1)
 	}
 }
 
@@ -44,6 +47,7 @@
 			return nil
 		case <-b.moved:
 			b.handOver(ctx)
+			b.unfinished.Add(-1)
 			timer.Reset(forward.PredecessorPeriod)
 		case <-timer.C:
 			b.engine.DropForeign(time.Now())
--- a/internal/balancer/upkeep.go
+++ b/internal/balancer/upkeep.go
@@ -25,6 +25,7 @@
 	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
 	lastPause, lastPrune := time.Now(), time.Now()
+	overloads := newOverloads()
 	for {
 		select {
 		case <-ctx.Done():
@@ -35,6 +36,9 @@
 		b.engine.Age(now, b.ageingLimit())
 		if now.Sub(lastPause) >= pauseInterval {
 			b.engine.PauseIdle(now)
+			for _, o := range overloads {
+				o.check(b.metrics.Refusals(), b.log, now)
+			}
 			lastPause = now
 		}
 		if now.Sub(lastPrune) >= pruneInterval {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -425,6 +425,36 @@
 	is.Equal(a.refused(metrics.UnknownSource), int64(4))
 }
 
+// Guards against a forged answer of a predecessor that binds a flow to the
+// server of another service, or to one of another IP version, which would stop
+// the daemon.
+func TestUnaskedAnswerOfAPredecessorIsIgnored(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, "a", "b")
+	w.services()
+	six := tables.Server{Name: "six", Endpoint: netip.MustParseAddrPort("[2001:db8::6]:443"), Zone: "zone-0"}.WithDefaults()
+	w.change(tables.PutPool{Name: "six", Servers: []tables.Server{six}})
+	a := w.nodes["a"]
+	forge := func(server string) []delivered {
+		s, _ := w.tables.ServerAt(netip.MustParseAddrPort(server))
+		return w.handle(a, &carrier.Incoming{
+			Inner: segment(w.callerOf(a), tcpService.AddrPort, syn, 0), From: w.nodes["b"].data,
+			Hop: carrier.Hop{Kind: carrier.HopKnown, Count: 3, Server: uint32(s.Server.ID)},
+		})
+	}
+	other := backend(4).Endpoint.String()
+	for _, server := range []string{other, six.Endpoint.String()} {
+		for _, d := range forge(server) {
+			is.True(d.dst.String() != server)
+		}
+	}
+	w.add("c")
+	w.refreshNode(w.nodes["c"], false)
+	w.refresh()
+	a = w.nodes["c"] // it asks predecessors now
+	is.Equal(len(forge(six.Endpoint.String())), 1)
+}
+
 // Guards against a silent flow that keeps its caller waiting for good, and
 // against a long quiet flow that is cut although its server is there.
 func TestSilentFlowIsResetOnlyWhenItsServerIsGone(t *testing.T) {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -66,7 +66,7 @@
 		}
 	}
 	route, ok := j.tables.RouteFor(j.address())
-	if j.in.Hop.Kind == carrier.HopKnown {
+	if j.in.Hop.Kind == carrier.HopKnown && e.mayHaveBeenAsked(j) {
 		known.confirmed, known.server = j.in.Hop.Confirmed, tables.ServerID(j.in.Hop.Server)
 		if ok {
 			known.route = route.ID
@@ -135,6 +135,14 @@
 	return j.view.predecessor(j.slot, j.now)
 }
 
+// mayHaveBeenAsked reports whether this daemon asks predecessors about the slot
+// at this time. The source of a UDP packet can be forged, so an answer to a
+// question that was never asked is ignored.
+func (e *Engine) mayHaveBeenAsked(j *job) bool {
+	_, ok := j.view.predecessor(j.slot, j.now)
+	return ok
+}
+
 // knownFlow is what another daemon has told about a flow.
 type knownFlow struct {
 	address   tables.Address
@@ -146,7 +154,7 @@
 // resume continues a flow that another owner has opened.
 func (e *Engine) resume(j *job, shard *flow.Shard, known knownFlow) (*flow.Flow, bool) {
 	endpoint, ok := j.tables.endpoint(known.server)
-	if !ok {
+	if !ok || endpoint.Addr().Is4() != j.caller.Addr().Is4() {
 		return nil, false
 	}
 	opening := flow.Opening{
