Measure crashes and held exceptions

The capacity page needs what the crash of a member costs the others, and the memory of exceptions that are kept for other owners. The benchmarks report both at several sizes.

--- a/internal/exception/bench_test.go
+++ b/internal/exception/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -101,3 +102,26 @@
 		})
 	}
 }
+
+// BenchmarkHeldMemory reports the memory of exceptions that are kept for other
+// owners.
+func BenchmarkHeldMemory(b *testing.B) {
+	heap := func() float64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for _, entries := range []int{10_000, MaxHeld} {
+		b.Run(fmt.Sprint("entries=", entries), func(b *testing.B) {
+			before, h := heap(), NewHeld(MaxHeld)
+			for i := range entries {
+				h.Store(&peerapi.ExceptionBatch{Owner: "vm-a", Incarnation: 1, Added: []*peerapi.Exception{benchEntry(i).message()}}, start)
+			}
+			b.ReportMetric((heap()-before)/float64(h.Len()), "B/entry")
+			b.ReportMetric(0, "ns/op")
+			runtime.KeepAlive(h)
+		})
+	}
+}
--- a/internal/peer/cost_bench_test.go
+++ b/internal/peer/cost_bench_test.go
@@ -89,3 +89,34 @@
 		})
 	}
 }
+
+// BenchmarkMemberChange reports what the crash of one member costs each other
+// member beyond the cost of the calm, which is measured before.
+//
+//	go test -run '^$' -bench MemberChange -benchtime 1x ./peer
+func BenchmarkMemberChange(b *testing.B) {
+	const window = 8 * time.Second
+	for _, members := range []int{8, 16, 32} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			c := newCluster(b, nil)
+			c.startZones(members, "z1", "z2", "z3")
+			within(b, 20*time.Second, "all members know all", func() bool { return agree(c.nodes, c.nodes) })
+			time.Sleep(meetLinkLife + time.Second) // until links to the contact have ended
+			var sent, cpu [2]float64
+			for i := range sent {
+				if i == 1 {
+					c.nodes[members-1].Kill()
+				}
+				bytes, used := c.controlBytes(), processorTime(b)
+				time.Sleep(window)
+				sent[i] = float64(c.controlBytes()[0] - bytes[0])
+				cpu[i] = float64((processorTime(b) - used).Microseconds())
+			}
+			others := float64(members - 1)
+			calm := others / float64(members) // the part of those that stay
+			b.ReportMetric((sent[1]-sent[0]*calm)/others, "extra-sent-B")
+			b.ReportMetric((cpu[1]-cpu[0]*calm)/others, "extra-cpu-µs")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
