Do not count long idle UDP flows as connections

Cause: UDP flows stay in the table for 3 minutes after their last packet and counted against the servers' connection limits.

Change: a UDP flow idle for 5 s no longer counts as a connection, and counts again from its next packet on.

TestIdleUDPFlowsDoNotFillTheConnectionLimit guards against it.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -455,6 +455,29 @@
 	is.Equal(len(forge(six.Endpoint.String())), 1)
 }
 
+// Guards against UDP flows that ended unseen and still fill the connection
+// limits of the servers: in a run of 150 s a third of the flows was refused.
+func TestIdleUDPFlowsDoNotFillTheConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, "a")
+	w.services()
+	small := backend(4)
+	small.Connections = 10
+	w.change(tables.PutPool{Name: "mapas", Servers: []tables.Server{small}})
+	n := w.order[0]
+	for i := range 10 {
+		is.Equal(w.one(n, datagram(callerAt(i), udpService.AddrPort)).dst, small.Endpoint)
+	}
+	is.True(w.one(n, datagram(callerAt(10), udpService.AddrPort)).icmp) // the limit is reached
+	w.now = w.now.Add(udpConnectionIdle + time.Second)
+	is.Equal(w.one(n, datagram(callerAt(0), udpService.AddrPort)).dst, small.Endpoint) // one goes on
+	n.engine.PauseIdle(w.now)
+	for i := range 9 {
+		is.Equal(w.one(n, datagram(callerAt(20+i), udpService.AddrPort)).dst, small.Endpoint)
+	}
+	is.True(w.one(n, datagram(callerAt(40), udpService.AddrPort)).icmp)
+}
+
 // Guards against a silent flow that keeps its caller waiting for good, and
 // against a long quiet flow that is cut although its server is there.
 func TestSilentFlowIsResetOnlyWhenItsServerIsGone(t *testing.T) {
--- a/internal/forward/learn.go
+++ b/internal/forward/learn.go
@@ -16,6 +16,10 @@
 	PauseAfter = 250 * time.Millisecond
 	// waitLimit ends the wait for a response that does not come.
 	waitLimit = 10 * time.Second
+	// udpConnectionIdle is how long an idle UDP flow counts as a connection of
+	// its server. The end of a QUIC connection cannot be seen, and flows that
+	// ended long ago would fill the limits of all servers.
+	udpConnectionIdle = 5 * time.Second
 	// minRequestDatagram is the length of the shortest datagram that counts as
 	// a request. Shorter ones are acknowledgements of QUIC in most cases.
 	minRequestDatagram = 64
@@ -43,9 +47,13 @@
 // observeLoad counts the flow as load from the caller's request to the server's
 // last packet.
 func (e *Engine) observeLoad(f *flow.Flow, d flow.Direction, j *job) {
-	if f.Has(flow.Ended) || !isWork(f, j) {
+	if !isWork(f, j) || f.State() == flow.TCPClosing {
 		return
 	}
+	if f.Has(flow.Ended) {
+		f.Clear(flow.Ended)
+		e.start(f, j.now)
+	}
 	if d == flow.FromCaller {
 		f.Set(flow.Waiting)
 	} else {
@@ -83,19 +91,23 @@
 
 // pauseIdle pauses the flow if its server has nothing to do for it.
 func (e *Engine) pauseIdle(f *flow.Flow, now time.Time) {
-	silence := f.SinceServer(now)
-	if f.Has(flow.Waiting) {
-		if idle := f.Idle(now); idle >= waitLimit {
-			e.pause(f, now.Add(-idle))
-		}
-		return
-	}
-	if silence >= PauseAfter {
+	idle, silence := f.Idle(now), f.SinceServer(now)
+	switch {
+	case isUDP(f) && idle >= udpConnectionIdle:
+		e.end(f, now.Add(-idle))
+	case f.Has(flow.Waiting) && idle >= waitLimit:
+		e.pause(f, now.Add(-idle))
+	case !f.Has(flow.Waiting) && silence >= PauseAfter:
 		e.pause(f, now.Add(-silence))
 	}
 }
 
-// end takes the flow off its server's connections, once.
+func isUDP(f *flow.Flow) bool {
+	return f.State() == flow.UDPUnanswered || f.State() == flow.UDPAnswered
+}
+
+// end takes the flow off its server's connections, once. A UDP flow can start
+// again.
 func (e *Engine) end(f *flow.Flow, ended time.Time) {
 	if f.Has(flow.Ended) {
 		return
