Say how scenarios pause a VM

Cause: a frozen VM's member loop goes on for about 1 s, which the package did not say. Change: the package documentation says it.

--- a/standin/scenario/doc.go
+++ b/standin/scenario/doc.go
@@ -9,6 +9,10 @@
 // of the site are thus in the bubble, and minutes of virtual time take
 // milliseconds.
 //
+// Code in a bubble cannot be stopped from outside. A frozen VM neither sends nor
+// receives at once, but its member loop stops only when it suspects the first
+// silent peer, about 1 s later. Pauses of 3 s and more are therefore faithful.
+//
 // # Commands
 //
 // The words the, of, a, an, next and from are ignored. testscript reserves
