Take back the busy time of a paused flow once

Cause: a UDP flow that was paused and then ended was resumed and closed at the time of its last packet, so that its idle time was taken back without having been counted.

Change: a paused flow is resumed and closed at one time, the present.

TestEndOfAPausedFlowLeavesTheBusyTime fails without the change.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -478,6 +478,32 @@
 	is.True(w.one(n, datagram(callerAt(40), udpService.AddrPort)).icmp)
 }
 
+// Guards against busy time that is taken back twice: learned corrections then
+// follow noise, and the imbalance rose to 1.8.
+func TestEndOfAPausedFlowLeavesTheBusyTime(t *testing.T) {
+	is := is.New(t)
+	chooser := selection.NewChooser(testStart, nil)
+	w := &world{t: t, now: testStart, nodes: make(map[member.Name]*node), tables: tables.Empty()}
+	w.policy = func() selection.Policy { return chooser }
+	n := w.add("a")
+	w.refresh()
+	w.services()
+	for i := range 100 {
+		server := w.one(n, datagram(callerAt(i), udpService.AddrPort)).dst
+		w.now = w.now.Add(100 * time.Millisecond)
+		w.one(n, datagram(server, callerAt(i)))
+		n.engine.PauseIdle(w.now)
+	}
+	for range 20 {
+		w.now = w.now.Add(500 * time.Millisecond)
+		n.engine.PauseIdle(w.now)
+		n.engine.Age(w.now, 10_000)
+	}
+	for _, s := range chooser.Servers(w.now) {
+		is.True(s.Utilisation >= 0)
+	}
+}
+
 // Guards against a silent flow that keeps its caller waiting for good, and
 // against a long quiet flow that is cut although its server is there.
 func TestSilentFlowIsResetOnlyWhenItsServerIsGone(t *testing.T) {
--- a/internal/forward/learn.go
+++ b/internal/forward/learn.go
@@ -40,7 +40,7 @@
 	}
 	if change.Has(flow.BecameClosing) {
 		// What the caller sent after the server's last packet is no work.
-		e.end(f, j.now.Add(-f.SinceServer(j.now)))
+		e.end(f, j.now.Add(-f.SinceServer(j.now)), j.now)
 	}
 }
 
@@ -94,7 +94,7 @@
 	idle, silence := f.Idle(now), f.SinceServer(now)
 	switch {
 	case isUDP(f) && idle >= udpConnectionIdle:
-		e.end(f, now.Add(-idle))
+		e.end(f, now.Add(-idle), now)
 	case f.Has(flow.Waiting) && idle >= waitLimit:
 		e.pause(f, now.Add(-idle))
 	case !f.Has(flow.Waiting) && silence >= PauseAfter:
@@ -108,13 +108,15 @@
 
 // end takes the flow off its server's connections, once. A UDP flow can start
 // again.
-func (e *Engine) end(f *flow.Flow, ended time.Time) {
+func (e *Engine) end(f *flow.Flow, ended, now time.Time) {
 	if f.Has(flow.Ended) {
 		return
 	}
 	if f.Has(flow.Paused) {
-		// Closed ends a flow that counts as load.
-		e.policy.Resumed(f.Server(), ended)
+		// Closed ends a flow that counts as load. At one time, both leave the
+		// server's busy time as it is.
+		ended = now
+		e.policy.Resumed(f.Server(), now)
 	}
 	f.Clear(flow.Paused)
 	f.Set(flow.Ended)
@@ -168,7 +170,7 @@
 
 // release gives back what an ended flow holds in other packages.
 func (e *Engine) release(f *flow.Flow, now time.Time) {
-	e.end(f, now)
+	e.end(f, now, now)
 	if f.Has(flow.Deviated) {
 		e.own.Close(f.Fingerprint())
 		e.held.Remove(f.Fingerprint())
