--- a/standin/bench/bench_test.go
+++ b/standin/bench/bench_test.go
@@ -39,7 +39,7 @@
 			s.Pools[0].Imbalance = 1.5
 			s.Flows.Broken = map[caller.Reason]int{caller.ResponseTimeout: 3}
 			s.Flows.BrokenByCrash, s.Flows.OpenAtCrash = 2, 5
-			s.Violations, s.ViolationCount = []fabric.Violation{{Promise: fabric.P1}}, 1
+			s.Violations, s.ViolationCount = []fabric.Violation{{Promise: fabric.P1, Kind: site.BrokenFlow}}, 1
 		}
 		for i := range 1000 {
 			s.Flows.Checks = append(s.Flows.Checks, time.Duration(i+1)*time.Millisecond)
@@ -89,8 +89,8 @@
 	is.Equal(strings.Join(lines, "\n"), `site setting policy opened completed refused broken by crash imbalance window p99 p50 p99 p99.9 control B/s max 2nd hop violations
 quesada steady chooser 10 6 load_shed 1 0 0 1.25/0.00 2.00/0.00 500ms 990ms 999ms 3000 5000 87.5% 0
 quesada steady random 10 6 load_shed 1 0 0 1.50/0.00 2.00/0.00 500ms 990ms 999ms 3000 5000 87.5% 0
-quesada crash chooser 10 6 load_shed 1 1 2 1.50/0.00 2.00/0.00 500ms 990ms 999ms 3000 5000 87.5% 1 (P1 1)
-quesada crash random 10 6 load_shed 1 1 2 1.50/0.00 2.00/0.00 500ms 990ms 999ms 3000 5000 87.5% 1 (P1 1)
+quesada crash chooser 10 6 load_shed 1 1 2 1.50/0.00 2.00/0.00 500ms 990ms 999ms 3000 5000 87.5% 1 (P1 broken_flow 1)
+quesada crash random 10 6 load_shed 1 1 2 1.50/0.00 2.00/0.00 500ms 990ms 999ms 3000 5000 87.5% 1 (P1 broken_flow 1)
 
 quesada steady, pool desk: chooser 1.25, best other random 1.50: wins
 quesada crash, pool desk: chooser 1.50, best other random 1.50: does not win
--- a/standin/bench/result.go
+++ b/standin/bench/result.go
@@ -7,7 +7,6 @@
 	"github.com/go-faster/errors"
 
 	"knapweedshore.example/standin/caller"
-	"knapweedshore.example/standin/fabric"
 	"knapweedshore.example/standin/site"
 )
 
@@ -40,10 +39,11 @@
 	Control Control `json:"control"`
 	// SecondHop is the share of packets that passed a second balancer.
 	SecondHop float64 `json:"second_hop_share"`
-	// Violations counts broken promises by promise.
-	Violations     map[fabric.Promise]int `json:"violations"`
-	ViolationCount int                    `json:"violation_count"`
-	LeaveError     string                 `json:"leave_error,omitempty"`
+	// Violations counts the listed ones by promise and kind, as in
+	// "P5 second_server"; ViolationCount counts all.
+	Violations     map[string]int `json:"violations"`
+	ViolationCount int            `json:"violation_count"`
+	LeaveError     string         `json:"leave_error,omitempty"`
 }
 
 // Pool is the imbalance of one pool: over the run, and the 99th percentile of
@@ -81,13 +81,13 @@
 		BrokenPlanned:   total(s.Flows.Broken) - s.Flows.BrokenByCrash,
 		BrokenUnplanned: s.Flows.BrokenByCrash, OpenAtCrash: s.Flows.OpenAtCrash,
 		Check: check, Control: newControl(s.Balancers), SecondHop: s.SecondHopShare,
-		Violations: make(map[fabric.Promise]int), ViolationCount: s.ViolationCount, LeaveError: s.LeaveError,
+		Violations: make(map[string]int), ViolationCount: s.ViolationCount, LeaveError: s.LeaveError,
 	}
 	for _, p := range s.Pools {
 		r.Pools = append(r.Pools, Pool{Name: p.Pool, Imbalance: p.Imbalance, WindowP99: p.WindowP99, Windows: p.Windows})
 	}
 	for _, v := range s.Violations {
-		r.Violations[v.Promise]++
+		r.Violations[string(v.Promise)+" "+string(v.Kind)]++
 	}
 	return r, nil
 }
