--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -32,8 +32,7 @@
 
 // headStore is a platform store that holds one head and no VM list.
 type headStore struct {
-	value   store.Value
-	changed chan struct{}
+	value store.Value
 }
 
 func (s *headStore) Get(context.Context, string) (store.Value, error) { return s.value, nil }
