--- a/cmd/knapweedshored/docs_test.go
+++ b/cmd/knapweedshored/docs_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"os"
+	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -60,3 +63,40 @@
 	delete(alerts, "---")
 	is.Equal(len(alerts), 0)
 }
+
+// Guards against a fault whose test was renamed or removed.
+func TestFaultsPageNamesExistingTests(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/faults.md")
+	is.NoErr(err)
+	sources := testSources(t)
+	names := regexp.MustCompile(`(Test|Fuzz)[A-Z]\w+|[a-z-]+\.txtar`).FindAllString(string(page), -1)
+	is.True(len(names) > 50)
+	for _, name := range names {
+		if strings.HasSuffix(name, ".txtar") {
+			_, err := os.Stat("../../standin/scenario/testdata/" + name)
+			is.NoErr(err)
+			continue
+		}
+		if !strings.Contains(sources, "func "+name+"(") {
+			t.Errorf("docs/faults.md names %s, which does not exist", name)
+		}
+	}
+}
+
+// testSources returns all test files of the workspace.
+func testSources(t *testing.T) string {
+	var all strings.Builder
+	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		all.Write(source)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return all.String()
+}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -33,7 +33,7 @@
 // Events of the tables and the store, 300 to 399.
 var (
 	TablesApplied   = Event{300, info, "tables applied", "none"}
-	TablesRegressed = Event{301, fail, "store returned an older table version", "the store was restored from a backup; apply the tables again"}
+	TablesRegressed = Event{301, fail, "store returned an older table version", "the store was restored from a backup; run knapweedshorectl recover --above N"}
 	TablesInvalid   = Event{302, fail, "tables refused", "another tool has written to the tables' keys"}
 	TablesOld       = Event{303, warn, "tables not confirmed to be newest", "check the store and the zone's network"}
 	FetchFailed     = Event{304, warn, "tables not fetched from a peer", "none, unless it repeats for one peer"}
