--- a/internal/balancer/upkeep.go
+++ b/internal/balancer/upkeep.go
@@ -13,7 +13,7 @@
 	ageingPeriod = 10 * time.Second
 	// pauseInterval is the period in which idle flows are taken off the load of
 	// their servers, from the time on at which they became idle. A pass takes
-	// 17 ms of processor time at 500,000 flows.
+	// 23 ms of processor time at 500,000 flows.
 	pauseInterval = time.Second
 	// pruneInterval is the period in which old exceptions are dropped.
 	pruneInterval = time.Minute
