Wait for the backups by a condition in the process test

Cause: the test slept for a second before it killed a daemon. Change: it waits until the backups have stored as many exceptions as flows left their default server.

--- a/cmd/knapweedshored/process_test.go
+++ b/cmd/knapweedshored/process_test.go
@@ -159,6 +159,23 @@
 	}
 }
 
+// total sums a counter over all daemons.
+func (f *fleet) total(name metrics.Reason) int64 {
+	var sum int64
+	for _, d := range f.daemons {
+		s, err := peer.FetchStatus(f.t.Context(), f.operator, d.control)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for _, c := range s.GetCounters() {
+			if c.GetName() == "total."+string(name) {
+				sum += c.GetValue()
+			}
+		}
+	}
+	return sum
+}
+
 func alive(s *peerapi.StatusResponse) int {
 	n := 0
 	for _, m := range s.GetMembers() {
@@ -221,7 +238,9 @@
 		is.Equal(answer.Src, processService.AddrPort)
 		servers[caller] = opened.Dst
 	}
-	time.Sleep(time.Second) // exceptions reach their backups within 0.5 s
+	eventually(t, "backups know all exceptions", func() bool {
+		return f.total(metrics.ExceptionsStored) >= f.total(metrics.FlowsDeviated)
+	})
 
 	f.daemons[0].kill()
 	f.awaitMembers(f.daemons[1:], 2)
