Wait for a time or the end of a context in one place

Cause: the same function stood in packages peer, tablesync and exception. Change: package wait with For; the three copies are gone.

--- a/internal/exception/bench_test.go
+++ b/internal/exception/bench_test.go
@@ -91,7 +91,7 @@
 			}
 			peers, paced := &countingPeers{}, time.Duration(0)
 			for b.Loop() {
-				err := HandOver(context.Background(), peers, self, "vm-b", t, func(_ context.Context, d time.Duration) { paced += d })
+				err := HandOver(context.Background(), peers, self, "vm-b", t, func(_ context.Context, d time.Duration) bool { paced += d; return true })
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/internal/exception/handover.go
+++ b/internal/exception/handover.go
@@ -59,7 +59,7 @@
 }
 
 // HandOver sends the flows of moved slots to the member that owns them now.
-func HandOver(ctx context.Context, peers Peers, self member.Member, to member.Name, t Transfer, pause func(context.Context, time.Duration)) error {
+func HandOver(ctx context.Context, peers Peers, self member.Member, to member.Name, t Transfer, pause func(context.Context, time.Duration) bool) error {
 	for _, batch := range t.batches(self) {
 		entries := len(batch.GetAdded()) + len(batch.GetOnDefault())
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/exception/keeper.go
+++ b/internal/exception/keeper.go
@@ -6,6 +6,7 @@
 
 	"knapweedshore.example/internal/member"
 	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/wait"
 	"knapweedshore.example/peerapi"
 )
 
@@ -16,8 +17,8 @@
 	Sender  *Sender
 	Peers   Peers
 	Metrics *metrics.Registry
-	// Pause replaces waiting between the batches of a hand-over, for tests.
-	Pause func(ctx context.Context, d time.Duration)
+	// Pause replaces wait.For between the batches of a hand-over, for tests.
+	Pause func(ctx context.Context, d time.Duration) bool
 }
 
 // Accept takes a batch from another daemon, which must be its owner or the one
@@ -60,7 +61,7 @@
 func (k *Keeper) transfer(ctx context.Context, self member.Member, to member.Name, t Transfer) {
 	pause := k.Pause
 	if pause == nil {
-		pause = wait
+		pause = wait.For
 	}
 	if err := HandOver(ctx, k.Peers, self, to, t, pause); err != nil {
 		// The new owner still asks this daemon for unknown flows.
@@ -70,13 +71,6 @@
 	k.Metrics.Count(metrics.ExceptionsHandover, int64(len(t.Exceptions)+len(t.OnDefault)))
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // DropStale forgets the exceptions of owners that no longer serve or have
 // another backup now. It must not run before their flows have been handed over
 // and the new owners have stopped asking.
--- a/internal/forward/world_test.go
+++ b/internal/forward/world_test.go
@@ -108,7 +108,7 @@
 		n.policy = w.policy()
 	}
 	n.keeper = &exception.Keeper{
-		Pause: func(context.Context, time.Duration) {},
+		Pause: func(context.Context, time.Duration) bool { return true },
 		Held:  exception.NewHeld(1000), Peers: w, Metrics: n.metrics,
 		Sender: exception.NewSender(w, n.metrics, exceptionBudget, w.now),
 	}
--- a/internal/peer/keep.go
+++ b/internal/peer/keep.go
@@ -11,6 +11,7 @@
 	"knapweedshore.example/internal/events"
 	"knapweedshore.example/internal/member"
 	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/wait"
 	"knapweedshore.example/peerapi"
 )
 
@@ -73,10 +74,10 @@
 		if err == nil || keeping.Err() != nil {
 			// A peer that closed in order is leaving, or has this daemon as a
 			// temporary contact; it needs no quick second link.
-			sleep(keeping, redialFirst)
+			wait.For(keeping, redialFirst)
 			continue
 		}
-		sleep(keeping, pause.NextBackOff())
+		wait.For(keeping, pause.NextBackOff())
 	}
 }
 
--- a/internal/peer/leave.go
+++ b/internal/peer/leave.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"knapweedshore.example/internal/member"
+	"knapweedshore.example/internal/wait"
 )
 
 // leavePoll is the period in which Leave looks for acknowledgements.
@@ -16,7 +17,7 @@
 func (n *Node) AnnounceLeaving(ctx context.Context) error {
 	n.cfg.Table.Leave()
 	for !n.acknowledged() {
-		if !sleep(ctx, leavePoll) {
+		if !wait.For(ctx, leavePoll) {
 			return stepError("announce leaving", "any", ctx.Err())
 		}
 	}
@@ -58,7 +59,7 @@
 	for _, l := range links {
 		l.stop()
 	}
-	for n.linked() && sleep(ctx, leavePoll) {
+	for n.linked() && wait.For(ctx, leavePoll) {
 	}
 	n.Kill()
 	return stepError("leave", "any", ctx.Err())
--- a/internal/peer/meet.go
+++ b/internal/peer/meet.go
@@ -8,6 +8,7 @@
 
 	"knapweedshore.example/internal/member"
 	"knapweedshore.example/internal/store"
+	"knapweedshore.example/internal/wait"
 )
 
 const (
@@ -119,10 +120,10 @@
 // a restart of the fleet does not burden the store.
 func (n *Node) readDirectory(ctx context.Context) {
 	if len(n.cfg.Contacts) > 0 {
-		if !sleep(ctx, directoryGrace) {
+		if !wait.For(ctx, directoryGrace) {
 			return
 		}
-		if len(n.Linked()) > 0 && !sleep(ctx, rand.N(directoryInterval)) {
+		if len(n.Linked()) > 0 && !wait.For(ctx, rand.N(directoryInterval)) {
 			return
 		}
 	}
@@ -139,7 +140,7 @@
 			pause = min(2*pause, directoryInterval)
 		}
 		// Jitter keeps daemons that started together from reading together.
-		if !sleep(ctx, next/2+rand.N(next)) {
+		if !wait.For(ctx, next/2+rand.N(next)) {
 			return
 		}
 	}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -156,15 +156,3 @@
 	}
 	delete(n.conns, c)
 }
-
-// sleep waits for d and reports false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,6 +17,7 @@
 	"knapweedshore.example/internal/member"
 	"knapweedshore.example/internal/metrics"
 	"knapweedshore.example/internal/tables"
+	"knapweedshore.example/internal/wait"
 	"knapweedshore.example/peerapi"
 )
 
@@ -45,7 +46,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return
 		case err != nil:
-			sleep(ctx, acceptRetry)
+			wait.For(ctx, acceptRetry)
 			continue
 		}
 		n.group.Go(func() { n.serve(ctx, rpc, conn) })
--- a/internal/tablesync/harness_test.go
+++ b/internal/tablesync/harness_test.go
@@ -21,6 +21,7 @@
 	"knapweedshore.example/internal/metrics"
 	"knapweedshore.example/internal/store"
 	"knapweedshore.example/internal/tables"
+	"knapweedshore.example/internal/wait"
 	"knapweedshore.example/peerapi"
 )
 
@@ -194,7 +195,7 @@
 	d.kill = cancel
 	m.group.Go(func() { _ = d.Run(ctx, d) })
 	m.group.Go(func() {
-		for sleep(ctx, member.HeartbeatInterval) {
+		for wait.For(ctx, member.HeartbeatInterval) {
 			for _, other := range m.linked(d) {
 				other.Heard(d.name, d.Version(), d.Age())
 			}
@@ -210,7 +211,7 @@
 	m.mu.Unlock()
 	d.kill()
 	m.group.Go(func() {
-		sleep(m.t.Context(), 2*time.Second)
+		wait.For(m.t.Context(), 2*time.Second)
 		record := d.table.View().Self
 		for _, state := range []member.State{member.Suspect, member.Left} {
 			record.State = state
--- a/internal/tablesync/watch.go
+++ b/internal/tablesync/watch.go
@@ -12,6 +12,7 @@
 	"knapweedshore.example/internal/metrics"
 	"knapweedshore.example/internal/store"
 	"knapweedshore.example/internal/tables"
+	"knapweedshore.example/internal/wait"
 )
 
 const (
@@ -64,7 +65,7 @@
 func (s *Syncer) watchStore(ctx context.Context, peers Peers) {
 	w := &watcher{Syncer: s, peers: peers}
 	for started := time.Now(); s.Version() == 0 && time.Since(started) < startupWait; {
-		if !sleep(ctx, followInterval) {
+		if !wait.For(ctx, followInterval) {
 			return
 		}
 	}
@@ -81,7 +82,7 @@
 				return
 			}
 		}
-		if !sleep(ctx, rolePoll) {
+		if !wait.For(ctx, rolePoll) {
 			return
 		}
 	}
@@ -106,7 +107,7 @@
 		pause.Reset()
 		return true
 	}
-	return sleep(ctx, pause.NextBackOff())
+	return wait.For(ctx, pause.NextBackOff())
 }
 
 // noteStore logs when the store begins to fail and when it answers again.
@@ -253,15 +254,3 @@
 	w.cfg.Events.Log(events.TablesRegressed,
 		zap.Uint64("store_version", uint64(v)), zap.Uint64("version", uint64(w.Version())))
 }
-
-// sleep waits for d and reports false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
