Adopt flows in one place

Cause: three functions opened, counted and started an adopted flow with small variations; two looked up a route and its pool; two joined the current and the earlier pools; status compared the names of 65,536 owners; a packet's service was looked up before it was known not to be an ICMP error.

--- a/internal/balancer/status.go
+++ b/internal/balancer/status.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"knapweedshore.example/internal/metrics"
-	"knapweedshore.example/internal/owner"
 	"knapweedshore.example/internal/selection"
 	"knapweedshore.example/peerapi"
 )
@@ -24,7 +23,7 @@
 		TablesAgeMs:          uint64(b.tables.Age().Milliseconds()),
 		Standing:             b.members.Standing(now),
 		OpenFlows:            uint32(b.flows.Len()),
-		SlotsOwned:           uint32(b.slotsOwned()),
+		SlotsOwned:           uint32(b.engine.SlotsOwned()),
 		Counters:             b.counters(),
 		Servers:              b.servers(now),
 		ControlBytesSent:     uint64(b.metrics.Totals().Value(metrics.ControlBytesSent)),
@@ -37,16 +36,6 @@
 	return status
 }
 
-func (b *Balancer) slotsOwned() int {
-	n := 0
-	for slot := range uint32(owner.Slots) {
-		if string(b.engine.Owner(slot)) == b.settings.Name {
-			n++
-		}
-	}
-	return n
-}
-
 // counters returns the counters that are not zero.
 func (b *Balancer) counters() []*peerapi.Counter {
 	var out []*peerapi.Counter
--- a/internal/forward/changes.go
+++ b/internal/forward/changes.go
@@ -172,6 +172,12 @@
 	e.eachFlow(func(_ *flow.Shard, f *flow.Flow) { e.pauseIdle(f, now) })
 }
 
+// SlotsOwned returns how many slots this daemon owns.
+func (e *Engine) SlotsOwned() int {
+	view := e.view.Load()
+	return view.Map.Count(view.Self)
+}
+
 // Owner returns the member that owns a slot, or "".
 func (e *Engine) Owner(slot uint32) member.Name {
 	return e.view.Load().Map.OwnerName(slot % owner.Slots)
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -163,13 +163,12 @@
 
 // orient finds out which end of the packet is the caller.
 func (e *Engine) orient(j *job) (metrics.Reason, bool) {
-	request := j.tables.isService(j.address())
 	// The embedded packet of an ICMP error travels against the error.
 	if j.info.ICMPError {
 		return e.orientError(j)
 	}
 	switch {
-	case request:
+	case j.tables.isService(j.address()):
 		j.caller = j.info.Src
 	case j.tables.isEndpoint(j.info.Src):
 		j.caller, j.response = j.info.Dst, true
--- a/internal/forward/history.go
+++ b/internal/forward/history.go
@@ -76,12 +76,28 @@
 	return out
 }
 
+// routeAndPool returns a route of the current version and its pool.
+func (v *tableView) routeAndPool(id tables.RouteID) (*tables.Route, *tables.Pool, bool) {
+	route, ok := v.RouteByID(id)
+	if !ok {
+		return nil, nil, false
+	}
+	pool, ok := v.Pool(route.Pool)
+	return route, pool, ok
+}
+
+// poolsOf returns the current pool of a route and the earlier ones, newest
+// first.
+func (v *tableView) poolsOf(id tables.RouteID, current *tables.Pool) []*tables.Pool {
+	return append([]*tables.Pool{current}, v.earlier[id]...)
+}
+
 // defaultServer returns the default server of the flow in the current version,
 // or, if after is set, the first other one in an earlier version that follows
 // it.
 func (v *tableView) defaultServer(fp uint64, route *tables.Route, pool *tables.Pool, after tables.ServerID) (*tables.Server, bool) {
 	var candidates []*tables.Server
-	for _, p := range append([]*tables.Pool{pool}, v.earlier[route.ID]...) {
+	for _, p := range v.poolsOf(route.ID, pool) {
 		s, ok := selection.Default(fp, p)
 		if ok && !slices.ContainsFunc(candidates, func(c *tables.Server) bool { return c.ID == s.ID }) {
 			candidates = append(candidates, s)
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -55,16 +55,12 @@
 // allServers returns the servers that a flow of the route may be on, those of
 // earlier pools included.
 func (v *tableView) allServers(id tables.RouteID) []*tables.Server {
-	route, ok := v.RouteByID(id)
+	_, pool, ok := v.routeAndPool(id)
 	if !ok {
 		return nil
 	}
-	pools := v.earlier[id]
-	if pool, ok := v.Pool(route.Pool); ok {
-		pools = append([]*tables.Pool{pool}, pools...)
-	}
 	var out []*tables.Server
-	for _, p := range pools {
+	for _, p := range v.poolsOf(id, pool) {
 		for i := range p.Servers {
 			s := &p.Servers[i]
 			known := slices.ContainsFunc(out, func(o *tables.Server) bool { return o.ID == s.ID })
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -30,11 +30,7 @@
 func (e *Engine) tryEarlierDefault(j *job, shard *flow.Shard, f *flow.Flow) {
 	// Without another default server, all servers are asked.
 	f.Set(flow.Searching)
-	route, ok := j.tables.RouteByID(f.Route())
-	if !ok {
-		return
-	}
-	pool, ok := j.tables.Pool(route.Pool)
+	route, pool, ok := j.tables.routeAndPool(f.Route())
 	if !ok {
 		return
 	}
@@ -80,25 +76,21 @@
 // is confirmed on another server.
 func (e *Engine) adoptResponse(j *job, shard *flow.Shard, route *tables.Route, server *tables.Server) (metrics.Reason, bool) {
 	f := shard.Forward(j.caller, route.Address)
-	if f != nil {
-		if !f.Has(flow.Adopted) || f.Has(flow.Confirmed) {
-			return metrics.AnswerUnknown, false
-		}
-		if !e.rebind(shard, f, server, j.now) {
-			return metrics.ReverseConflict, false
-		}
-	} else {
-		opened, err := shard.Open(flow.Opening{
-			Slot: j.slot, Caller: j.caller, Address: route.Address, Route: route.ID,
-			Server: server.ID, Endpoint: server.Endpoint,
-			State: resumedState(j.info.Protocol), Flags: flow.Adopted, Now: j.now,
+	if f == nil {
+		f, err := e.adopt(j, shard, flow.Opening{
+			Address: route.Address, Route: route.ID, Server: server.ID, Endpoint: server.Endpoint,
+			Flags: flow.PayloadSent,
 		})
 		if err != nil {
 			return openRefusal(err), false
 		}
-		f = opened
-		e.metrics.Count(metrics.FlowsAdopted, 1)
-		e.start(f, j.now)
+		return e.toCaller(j, f)
+	}
+	if !f.Has(flow.Adopted) || f.Has(flow.Confirmed) {
+		return metrics.AnswerUnknown, false
+	}
+	if !e.rebind(shard, f, server, j.now) {
+		return metrics.ReverseConflict, false
 	}
 	f.Set(flow.PayloadSent)
 	e.setDeviation(f, !e.onDefault(f, j.tables), j.now)
--- a/internal/forward/unknown.go
+++ b/internal/forward/unknown.go
@@ -101,22 +101,34 @@
 		return nil, false
 	}
 	opening := flow.Opening{
-		Slot: j.slot, Caller: j.caller, Address: known.address, Route: known.route,
-		Server: known.server, Endpoint: endpoint, State: resumedState(j.info.Protocol),
-		Flags: flow.Adopted | flow.PayloadSent, Now: j.now,
+		Address: known.address, Route: known.route,
+		Server: known.server, Endpoint: endpoint, Flags: flow.PayloadSent,
 	}
 	if known.confirmed {
 		opening.Flags |= flow.Confirmed
 	}
-	f, err := shard.Open(opening)
+	f, err := e.adopt(j, shard, opening)
 	if err != nil {
 		return nil, false
 	}
 	e.held.Remove(f.Fingerprint())
+	return f, true
+}
+
+// adopt adds a flow that did not open here. The opening names address, route,
+// server and flags.
+func (e *Engine) adopt(j *job, shard *flow.Shard, o flow.Opening) (*flow.Flow, error) {
+	o.Slot, o.Caller, o.Now = j.slot, j.caller, j.now
+	o.State = resumedState(j.info.Protocol)
+	o.Flags |= flow.Adopted
+	f, err := shard.Open(o)
+	if err != nil {
+		return nil, err
+	}
 	e.metrics.Count(metrics.FlowsAdopted, 1)
 	e.start(f, j.now)
 	e.setDeviation(f, !e.onDefault(f, j.tables), j.now)
-	return f, true
+	return f, nil
 }
 
 func resumedState(p tables.Protocol) flow.State {
@@ -133,16 +145,11 @@
 	if !ok {
 		return metrics.NoUsableServer, false
 	}
-	f, err := shard.Open(flow.Opening{
-		Slot: j.slot, Caller: j.caller, Address: j.address(), Route: route.ID,
-		Server: server.ID, Endpoint: server.Endpoint, State: resumedState(j.info.Protocol),
-		Flags: flow.Adopted, Now: j.now,
+	f, err := e.adopt(j, shard, flow.Opening{
+		Address: j.address(), Route: route.ID, Server: server.ID, Endpoint: server.Endpoint,
 	})
 	if err != nil {
 		return openRefusal(err), false
 	}
-	e.metrics.Count(metrics.FlowsAdopted, 1)
-	e.start(f, j.now)
-	e.setDeviation(f, !e.onDefault(f, j.tables), j.now)
 	return e.toServer(j, f)
 }
