Share the usage errors of both commands

Cause: the error type, the action of a command that only groups others and the handler of flag errors stood in both binaries. Change: package cmd/usage; messages and exit codes are the same.

--- a/cmd/knapweedshorectl/app.go
+++ b/cmd/knapweedshorectl/app.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
+
+	"knapweedshore.example/cmd/usage"
 )
 
 const defaultTimeout = 15 * time.Second
@@ -57,11 +59,11 @@
 		Commands: []*cli.Command{
 			routeCommand(), poolCommand(), applyCommand(), historyCommand(), statusCommand(), recoverCommand(),
 		},
-		Action: missingCommand,
+		Action: usage.MissingCommand,
 		// run prints the error and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
-	reportUsageErrors(root)
+	usage.ReportErrors(root)
 	return root
 }
 
@@ -74,32 +76,12 @@
 	}
 }
 
-// missingCommand is the action of a command that only groups others.
-func missingCommand(_ context.Context, cmd *cli.Command) error {
-	if cmd.Args().Present() {
-		return usageErrorf("unknown command %q; see %s --help", cmd.Args().First(), cmd.FullName())
-	}
-	_ = cli.ShowSubcommandHelp(cmd)
-	return usageErrorf("a command is required")
-}
-
-// reportUsageErrors makes the errors of the flag parser usage errors; the
-// library does not inherit the handler.
-func reportUsageErrors(cmd *cli.Command) {
-	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
-		return usageErrorf("%v; see %s --help", err, cmd.FullName())
-	}
-	for _, sub := range cmd.Commands {
-		reportUsageErrors(sub)
-	}
-}
-
 // arguments returns the positional arguments if there are from least to most
 // of them; most -1 means any number.
 func arguments(cmd *cli.Command, least, most int) ([]string, error) {
 	args := cmd.Args().Slice()
 	if len(args) < least || (most >= 0 && len(args) > most) {
-		return nil, usageErrorf("want arguments %s; see %s --help", cmd.ArgsUsage, cmd.FullName())
+		return nil, usage.Errorf("want arguments %s; see %s --help", cmd.ArgsUsage, cmd.FullName())
 	}
 	return args, nil
 }
@@ -109,7 +91,7 @@
 	return func(ctx context.Context, cmd *cli.Command) error {
 		timeout := cmd.Duration("timeout")
 		if timeout <= 0 {
-			return usageErrorf("--timeout is %s, want more than 0", timeout)
+			return usage.Errorf("--timeout is %s, want more than 0", timeout)
 		}
 		ctx, cancel := context.WithTimeoutCause(ctx, timeout, errors.Errorf("no result after %s", timeout))
 		defer cancel()
--- a/cmd/knapweedshorectl/client.go
+++ b/cmd/knapweedshorectl/client.go
@@ -6,6 +6,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"knapweedshore.example/cmd/usage"
 	"knapweedshore.example/internal/edit"
 	"knapweedshore.example/internal/metrics"
 	"knapweedshore.example/internal/store"
@@ -19,14 +20,14 @@
 func openStore(cmd *cli.Command) (store.Store, error) {
 	address := cmd.String("store")
 	if address == "" {
-		return nil, usageErrorf("--store or KNAPWEEDSHORE_STORE is required")
+		return nil, usage.Errorf("--store or KNAPWEEDSHORE_STORE is required")
 	}
 	if !strings.Contains(address, "://") {
 		address = "http://" + address
 	}
 	client, err := store.NewHTTP(address)
 	if err != nil {
-		return nil, usageErrorf("--store: %v", err)
+		return nil, usage.Errorf("--store: %v", err)
 	}
 	return store.NewBudget(client, store.BudgetOptions{CallsPerSecond: callsPerSecond}), nil
 }
--- a/cmd/knapweedshorectl/exit.go
+++ b/cmd/knapweedshorectl/exit.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/go-faster/errors"
 
+	"knapweedshore.example/cmd/usage"
 	"knapweedshore.example/internal/edit"
 	"knapweedshore.example/internal/store"
 	"knapweedshore.example/internal/tables"
@@ -22,22 +22,13 @@
 	exitOutcomeUnknown = 6
 )
 
-// usageError is a command line that makes no sense.
-type usageError struct{ text string }
-
-func (e *usageError) Error() string { return e.text }
-
-func usageErrorf(format string, args ...any) error {
-	return &usageError{text: fmt.Sprintf(format, args...)}
-}
-
 // exitCode returns the exit code of an error. The order matters: an unknown
 // outcome is caused by an unavailable store.
 func exitCode(err error) int {
 	switch {
 	case err == nil:
 		return exitOK
-	case isA[*usageError](err):
+	case isA[*usage.Error](err):
 		return exitUsage
 	case isA[*edit.OutcomeUnknownError](err):
 		return exitOutcomeUnknown
--- a/cmd/knapweedshorectl/history.go
+++ b/cmd/knapweedshorectl/history.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
+	"knapweedshore.example/cmd/usage"
 	"knapweedshore.example/internal/tables"
 )
 
@@ -46,7 +47,7 @@
 		return err
 	}
 	if cmd.Int("limit") < 1 {
-		return usageErrorf("--limit is %d, want at least 1", cmd.Int("limit"))
+		return usage.Errorf("--limit is %d, want at least 1", cmd.Int("limit"))
 	}
 	e, err := openEditor(cmd)
 	if err != nil {
--- a/cmd/knapweedshorectl/pool.go
+++ b/cmd/knapweedshorectl/pool.go
@@ -7,6 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"knapweedshore.example/cmd/usage"
 	"knapweedshore.example/internal/tables"
 )
 
@@ -14,7 +15,7 @@
 	return &cli.Command{
 		Name:   "pool",
 		Usage:  "edit which backend servers serve the routes",
-		Action: missingCommand,
+		Action: usage.MissingCommand,
 		Commands: []*cli.Command{
 			{
 				Name:   "list",
@@ -151,11 +152,11 @@
 	for _, text := range texts {
 		name, settings, found := strings.Cut(text, "=")
 		if !found || name == "" {
-			return nil, usageErrorf("--server %q: want NAME=ADDR:PORT zone=ZONE", text)
+			return nil, usage.Errorf("--server %q: want NAME=ADDR:PORT zone=ZONE", text)
 		}
 		srv, value, expected := tables.ParseServer(name, settings)
 		if expected != "" {
-			return nil, usageErrorf("--server %q: %q: want %s", name, value, expected)
+			return nil, usage.Errorf("--server %q: %q: want %s", name, value, expected)
 		}
 		servers = append(servers, srv)
 	}
--- a/cmd/knapweedshorectl/route.go
+++ b/cmd/knapweedshorectl/route.go
@@ -7,6 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"knapweedshore.example/cmd/usage"
 	"knapweedshore.example/internal/tables"
 )
 
@@ -14,7 +15,7 @@
 	return &cli.Command{
 		Name:   "route",
 		Usage:  "edit which traffic belongs to which service",
-		Action: missingCommand,
+		Action: usage.MissingCommand,
 		Commands: []*cli.Command{
 			{
 				Name:   "list",
@@ -110,7 +111,7 @@
 		was, ok := current.Route(args[0])
 		if !ok {
 			if !cmd.IsSet("address") || !cmd.IsSet("port") || !cmd.IsSet("pool") {
-				return nil, usageErrorf("route %q is new: --address, --port and --pool are required", args[0])
+				return nil, usage.Errorf("route %q is new: --address, --port and --pool are required", args[0])
 			}
 			was = &tables.Route{Address: tables.Address{Protocol: tables.TCP}}
 		}
@@ -128,7 +129,7 @@
 	var err error
 	if cmd.IsSet("address") {
 		if addr, err = netip.ParseAddr(cmd.String("address")); err != nil {
-			return r, usageErrorf("--address: %v", err)
+			return r, usage.Errorf("--address: %v", err)
 		}
 	}
 	if cmd.IsSet("port") {
@@ -136,7 +137,7 @@
 	}
 	if cmd.IsSet("protocol") {
 		if r.Address.Protocol, err = tables.ParseProtocol(cmd.String("protocol")); err != nil {
-			return r, usageErrorf("--protocol: %v", err)
+			return r, usage.Errorf("--protocol: %v", err)
 		}
 	}
 	if cmd.IsSet("pool") {
--- a/cmd/knapweedshorectl/status.go
+++ b/cmd/knapweedshorectl/status.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc/iter"
 	"github.com/urfave/cli/v3"
 
+	"knapweedshore.example/cmd/usage"
 	"knapweedshore.example/internal/peer"
 	"knapweedshore.example/peerapi"
 )
@@ -89,7 +90,7 @@
 	for _, text := range cmd.StringSlice("daemon") {
 		address, err := netip.ParseAddrPort(text)
 		if err != nil {
-			return nil, usageErrorf("--daemon: %v", err)
+			return nil, usage.Errorf("--daemon: %v", err)
 		}
 		targets = append(targets, target{address: address})
 	}
--- a/cmd/knapweedshored/app.go
+++ b/cmd/knapweedshored/app.go
@@ -7,6 +7,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
+
+	"knapweedshore.example/cmd/usage"
 )
 
 const rootDescription = `A layer-4 load balancer: every entry VM of a region runs this daemon.
@@ -30,15 +32,6 @@
 	exitUsage   = 2
 )
 
-// usageError is a command line that makes no sense.
-type usageError struct{ text string }
-
-func (e *usageError) Error() string { return e.text }
-
-func usageErrorf(format string, args ...any) error {
-	return &usageError{text: fmt.Sprintf(format, args...)}
-}
-
 // run executes one command line and returns its exit code.
 func run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	root := newRoot(out, errOut)
@@ -47,7 +40,7 @@
 		return exitOK
 	}
 	fmt.Fprintf(errOut, "%s: %v\n", root.Name, err)
-	if _, ok := errors.Into[*usageError](err); ok {
+	if _, ok := errors.Into[*usage.Error](err); ok {
 		return exitUsage
 	}
 	return exitFailure
@@ -63,38 +56,19 @@
 		Writer:                out,
 		ErrWriter:             errOut,
 		Commands:              []*cli.Command{runCommand(), checkCommand(), devCommand(), benchCommand()},
-		Action:                missingCommand,
+		Action:                usage.MissingCommand,
 		// run prints the error and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
-	reportUsageErrors(root)
+	usage.ReportErrors(root)
 	return root
 }
 
-func missingCommand(_ context.Context, cmd *cli.Command) error {
-	if cmd.Args().Present() {
-		return usageErrorf("unknown command %q; see %s --help", cmd.Args().First(), cmd.FullName())
-	}
-	_ = cli.ShowSubcommandHelp(cmd) // help that cannot be written changes nothing
-	return usageErrorf("a command is required")
-}
-
-// reportUsageErrors makes the errors of the flag parser usage errors; the
-// library does not inherit the handler.
-func reportUsageErrors(cmd *cli.Command) {
-	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
-		return usageErrorf("%v; see %s --help", err, cmd.FullName())
-	}
-	for _, sub := range cmd.Commands {
-		reportUsageErrors(sub)
-	}
-}
-
 // withoutArguments refuses positional arguments, which no command has.
 func withoutArguments(action cli.ActionFunc) cli.ActionFunc {
 	return func(ctx context.Context, cmd *cli.Command) error {
 		if cmd.Args().Present() {
-			return usageErrorf("unexpected argument %q; see %s --help", cmd.Args().First(), cmd.FullName())
+			return usage.Errorf("unexpected argument %q; see %s --help", cmd.Args().First(), cmd.FullName())
 		}
 		return action(ctx, cmd)
 	}
--- a/cmd/knapweedshored/bench.go
+++ b/cmd/knapweedshored/bench.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
+	"knapweedshore.example/cmd/usage"
 	"knapweedshore.example/standin/bench"
 	"knapweedshore.example/standin/site"
 )
@@ -70,7 +71,7 @@
 	for _, name := range cmd.StringSlice("site") {
 		d, ok := site.Reference(name)
 		if !ok {
-			return o, usageErrorf("--site is %q, want dev, quesada or sullam", name)
+			return o, usage.Errorf("--site is %q, want dev, quesada or sullam", name)
 		}
 		o.Sites = append(o.Sites, d)
 	}
@@ -81,10 +82,10 @@
 		return o, err
 	}
 	if f := cmd.String("output"); f != outputText && f != outputJSON {
-		return o, usageErrorf("--output is %q, want %s or %s", f, outputText, outputJSON)
+		return o, usage.Errorf("--output is %q, want %s or %s", f, outputText, outputJSON)
 	}
 	if o.Duration < minDevDuration {
-		return o, usageErrorf("--duration is %s, want at least %s for all changes", o.Duration, minDevDuration)
+		return o, usage.Errorf("--duration is %s, want at least %s for all changes", o.Duration, minDevDuration)
 	}
 	return o, nil
 }
@@ -92,7 +93,7 @@
 func checkNames(flag string, names, known []string) error {
 	for _, name := range names {
 		if !slices.Contains(known, name) {
-			return usageErrorf("--%s is %q, want one of %s", flag, name, strings.Join(known, ", "))
+			return usage.Errorf("--%s is %q, want one of %s", flag, name, strings.Join(known, ", "))
 		}
 	}
 	return nil
--- a/cmd/knapweedshored/dev.go
+++ b/cmd/knapweedshored/dev.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
+	"knapweedshore.example/cmd/usage"
 	"knapweedshore.example/standin/site"
 )
 
@@ -77,14 +78,14 @@
 func devConfig(cmd *cli.Command) (site.Config, error) {
 	description, ok := site.Reference(cmd.String("site"))
 	if !ok {
-		return site.Config{}, usageErrorf("--site is %q, want dev, quesada or sullam", cmd.String("site"))
+		return site.Config{}, usage.Errorf("--site is %q, want dev, quesada or sullam", cmd.String("site"))
 	}
 	if o := cmd.String("output"); o != outputText && o != outputJSON {
-		return site.Config{}, usageErrorf("--output is %q, want %s or %s", o, outputText, outputJSON)
+		return site.Config{}, usage.Errorf("--output is %q, want %s or %s", o, outputText, outputJSON)
 	}
 	duration := cmd.Duration("duration")
 	if duration < minDevDuration {
-		return site.Config{}, usageErrorf("--duration is %s, want at least %s for all changes", duration, minDevDuration)
+		return site.Config{}, usage.Errorf("--duration is %s, want at least %s for all changes", duration, minDevDuration)
 	}
 	return site.Config{Site: description, Seed: cmd.Uint64("seed"), Duration: duration, Still: cmd.Bool("still")}, nil
 }
