Remove code that nothing uses

Cause: the look-up of members by data address with its index, a flow flag, a counter and a method of the exception sender have no caller. Change: they are removed.

--- a/internal/exception/sender.go
+++ b/internal/exception/sender.go
@@ -124,13 +124,6 @@
 	return true
 }
 
-// Open returns the number of exceptions that are known to the backup.
-func (s *Sender) Open() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.sent)
-}
-
 // Run sends batches until ctx ends.
 func (s *Sender) Run(ctx context.Context) error {
 	ticker := time.NewTicker(BatchInterval)
--- a/internal/flow/state.go
+++ b/internal/flow/state.go
@@ -44,8 +44,6 @@
 	PayloadSent
 	// Deviated: the server is not the flow's default server.
 	Deviated
-	// Replicated: the backup has acknowledged the flow's exception.
-	Replicated
 	// Waiting: the caller has sent a request, and the server has not responded
 	// to it.
 	Waiting
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"net/netip"
 	"slices"
-	"sync"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -22,8 +20,6 @@
 	Standing bool
 
 	hashes []uint64 // ring positions of Members
-	index  sync.Once
-	byData map[netip.AddrPort]int
 }
 
 // NewView returns a View of the given records, for code that has them from
@@ -33,8 +29,7 @@
 	return newView(self, members, standing)
 }
 
-// newView takes members in ring order. It is called for each change of a
-// record, so it leaves the index of addresses to the first look-up.
+// newView takes members in ring order.
 func newView(self Member, members []Member, standing bool) *View {
 	v := &View{Self: self, Members: members, Standing: standing, hashes: make([]uint64, len(members))}
 	for i, m := range members {
@@ -43,16 +38,6 @@
 	return v
 }
 
-func (v *View) indexData() {
-	v.byData = make(map[netip.AddrPort]int, len(v.Members))
-	for i, m := range v.Members {
-		// A live VM that took over the address of a dead one is found first.
-		if j, taken := v.byData[m.Data]; !taken || v.Members[j].ended() {
-			v.byData[m.Data] = i
-		}
-	}
-}
-
 func ringHash(n Name) uint64 { return xxhash.Sum64String(string(n)) }
 
 func compareRing(a, b Name) int {
@@ -80,17 +65,6 @@
 	return i
 }
 
-// ByData returns the member with this data address, a live one if an address
-// was reused.
-func (v *View) ByData(a netip.AddrPort) (Member, bool) {
-	v.index.Do(v.indexData)
-	i, ok := v.byData[a]
-	if !ok {
-		return Member{}, false
-	}
-	return v.Members[i], true
-}
-
 // Serving returns the members that own slots, in ring order.
 func (v *View) Serving() []Member {
 	out := make([]Member, 0, len(v.Members))
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -21,7 +21,6 @@
 	ResetUnconfirmed  Reason = "reset_unconfirmed"
 	ICMPUnknownFlow   Reason = "icmp_unknown_flow"
 	StaleTables       Reason = "stale_tables"
-	StaleMember       Reason = "stale_member"
 	PeerNotMember     Reason = "peer_not_member"
 	PeerRefused       Reason = "peer_refused"
 	LinkQueueFull     Reason = "link_queue_full"
@@ -37,7 +36,7 @@
 	Malformed, Truncated, Fragment, UnsupportedHeader, UnknownSource, HopLimit,
 	NoRoute, AnswerUnknown, NoUsableServer, ServerLimit, ReverseConflict,
 	FlowTableFull, NewFlowRate, NoStanding, NoOwner, NoTables, ResetUnconfirmed,
-	ICMPUnknownFlow, StaleTables, StaleMember, PeerNotMember, PeerRefused, LinkQueueFull, ExceptionBudget,
+	ICMPUnknownFlow, StaleTables, PeerNotMember, PeerRefused, LinkQueueFull, ExceptionBudget,
 	ExceptionStale, TablesRegressed, StoreBudget, SendFailed,
 	SilentFlow,
 }
