--- a/cmd/knapweedshored/app.go
+++ b/cmd/knapweedshored/app.go
@@ -55,7 +55,7 @@
 		Suggest:               true,
 		Writer:                out,
 		ErrWriter:             errOut,
-		Commands:              []*cli.Command{runCommand(), checkCommand(), devCommand(), benchCommand()},
+		Commands:              []*cli.Command{runCommand(), entryCommand(), checkCommand(), devCommand(), benchCommand()},
 		Action:                usage.MissingCommand,
 		// run prints the error and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- /dev/null
+++ b/internal/cookie/engine.go
@@ -0,0 +1,238 @@
+package cookie
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"knapweedshore.example/internal/directory"
+	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/placement"
+)
+
+// freshEnough is the age of the directory up to which an address without a
+// route is refused with a reset. With an older one the route may be new, and
+// the caller's next copy of the packet may find it.
+const freshEnough = time.Second
+
+// Tables is where the engine finds routes and servers.
+type Tables interface {
+	// Current returns the newest directory, or nil.
+	Current() *directory.Directory
+	// Age returns how long ago the directory was confirmed to be the newest.
+	Age(now time.Time) time.Duration
+}
+
+// Engine decides what to do with each packet. It is safe for concurrent use.
+type Engine struct {
+	codec   Codec
+	tables  Tables
+	placer  *placement.Placer
+	metrics *metrics.Registry
+	log     *events.Logger
+
+	mu    sync.Mutex
+	flows map[flowKey]*flow
+}
+
+// NewEngine returns an engine that knows no flows.
+func NewEngine(codec Codec, tables Tables, placer *placement.Placer, m *metrics.Registry, log *events.Logger) *Engine {
+	return &Engine{codec: codec, tables: tables, placer: placer, metrics: m, log: log, flows: map[flowKey]*flow{}}
+}
+
+// Verdict says what to do with a packet.
+type Verdict struct {
+	// To is the server or caller that gets Bytes; an invalid address drops the
+	// packet.
+	To    netip.AddrPort
+	Bytes []byte
+	// Reset marks a reset, which goes to the caller.
+	Reset bool
+}
+
+// Handle decides about a packet that starts after the codec's headroom in b. The
+// bytes of the verdict are valid until the next use of b.
+func (e *Engine) Handle(b []byte, now time.Time) Verdict {
+	e.metrics.Count(metrics.PacketsIn, 1)
+	packet, err := e.codec.Parse(b[e.codec.Headroom():])
+	if err != nil {
+		e.metrics.Refused(metrics.Malformed)
+		return Verdict{}
+	}
+	d := e.tables.Current()
+	if d == nil {
+		e.metrics.Refused(metrics.NoTables)
+		return Verdict{}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var server *directory.Server
+	if packet.Opens {
+		server, err = e.open(d, packet, now)
+	} else {
+		server, err = e.follow(d, packet, now)
+	}
+	if err != nil {
+		return e.refuse(b, packet, err)
+	}
+	e.codec.Address(b, server.Number, server.Cookie)
+	e.metrics.Count(metrics.PacketsOut, 1)
+	return Verdict{To: server.Endpoint, Bytes: b}
+}
+
+// refusal is the reason why a packet is not forwarded.
+type refusal struct {
+	reason metrics.Reason
+	// reset tells the caller at once.
+	reset bool
+}
+
+func (r refusal) Error() string { return string(r.reason) }
+
+func (e *Engine) refuse(b []byte, p Packet, err error) Verdict {
+	r, _ := err.(refusal)
+	e.metrics.Refused(r.reason)
+	if !r.reset || p.Aborts {
+		return Verdict{}
+	}
+	return Verdict{To: p.Caller, Bytes: e.codec.AppendReset(b[:0], p), Reset: true}
+}
+
+// open places a new flow, or repeats the placement of one whose opening packet
+// is a copy.
+func (e *Engine) open(d *directory.Directory, p Packet, now time.Time) (*directory.Server, error) {
+	route := d.Route(p.Service)
+	if route == nil {
+		age := e.tables.Age(now)
+		e.log.Log(events.FlowRefused, zap.Stringer("caller", p.Caller), zap.Stringer("service", p.Service),
+			zap.String("reason", string(metrics.NoRoute)), zap.Uint64("config_version", d.Config.Version),
+			zap.Duration("age", age))
+		return nil, refusal{metrics.NoRoute, age <= freshEnough}
+	}
+	key := flowKey{p.Caller, p.Service}
+	f := e.flows[key]
+	if f != nil && f.established {
+		// A late copy: the flow's server knows it.
+		f.lastSeen = now
+		return f.server, nil
+	}
+	avoid := directory.Cookie(0)
+	if f != nil && f.ticket != nil {
+		f.copies++
+		avoid = f.server.Cookie
+		e.placer.Abandon(f.ticket)
+	}
+	pool := route.Pool(uint64(p.Caller.Port()))
+	server, ticket := e.placer.Choose(placement.Request{
+		Route: route, Candidates: d.Candidates(pool), Avoid: avoid, Now: now,
+	})
+	if server == nil {
+		e.log.Log(events.FlowRefused, zap.Stringer("caller", p.Caller), zap.Stringer("service", p.Service),
+			zap.String("reason", string(metrics.NoUsableServer)), zap.String("pool", pool),
+			zap.Uint64("revision", d.Revision), zap.Duration("age", e.tables.Age(now)))
+		return nil, refusal{metrics.NoUsableServer, true}
+	}
+	e.log.Log(events.FlowPlaced, zap.Stringer("caller", p.Caller), zap.Stringer("service", p.Service),
+		zap.String("server", server.Name), zap.Uint64("revision", d.Revision), zap.Uint32("copy", p.Ack))
+	e.metrics.Count(metrics.FlowsOpened, 1)
+	if f == nil && len(e.flows) < maxFlows {
+		f = &flow{}
+		e.flows[key] = f
+	}
+	if f == nil {
+		e.placer.Abandon(ticket)
+		return server, nil
+	}
+	f.server, f.route, f.ticket, f.lastSeen = server, route, ticket, now
+	return server, nil
+}
+
+// follow finds the server of a flow's later packet.
+func (e *Engine) follow(d *directory.Directory, p Packet, now time.Time) (*directory.Server, error) {
+	key := flowKey{p.Caller, p.Service}
+	f := e.flows[key]
+	if f == nil {
+		return e.adopt(d, p)
+	}
+	f.lastSeen = now
+	if !f.established {
+		e.establish(d, f, p, now)
+	}
+	e.observe(f, p, now)
+	return f.server, nil
+}
+
+// adopt forwards a packet of a flow that another daemon has placed.
+func (e *Engine) adopt(d *directory.Directory, p Packet) (*directory.Server, error) {
+	if p.Cookie == 0 {
+		return nil, refusal{metrics.NoCookie, false}
+	}
+	server := d.ByCookie(p.Cookie)
+	if server == nil {
+		return nil, refusal{metrics.UnknownCookie, false}
+	}
+	return server, nil
+}
+
+// establish fixes the server of a flow by the cookie in the first packet after
+// the opening one: the caller has acknowledged that server's answer. Answers
+// of other servers that arrive later change the cookie but not the flow.
+func (e *Engine) establish(d *directory.Directory, f *flow, p Packet, now time.Time) {
+	f.established = true
+	if p.Cookie != 0 && p.Cookie != f.server.Cookie {
+		if s := d.ByCookie(p.Cookie); s != nil {
+			f.server = s
+		}
+	}
+	if f.ticket == nil {
+		return
+	}
+	if f.ticket.Server() != f.server.Cookie {
+		e.placer.Abandon(f.ticket)
+		f.ticket = nil
+		return
+	}
+	e.placer.Heard(f.ticket, now)
+}
+
+// observe follows the request and the response in the caller's packets.
+func (e *Engine) observe(f *flow, p Packet, now time.Time) {
+	switch {
+	case f.ticket == nil:
+	case p.Aborts:
+		e.placer.Abandon(f.ticket)
+		f.ticket = nil
+	case p.Payload > 0 && !f.asked:
+		f.asked, f.askedAck = true, p.Ack
+		e.placer.Asked(f.ticket, now)
+	case f.asked && (p.Ack != f.askedAck || p.Ends):
+		e.placer.Done(f.ticket, now)
+		f.ticket = nil
+	}
+}
+
+// Expire forgets the flows that have ended or were given up.
+func (e *Engine) Expire(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for key, f := range e.flows {
+		if !f.expired(now) {
+			continue
+		}
+		if f.ticket != nil {
+			e.placer.Abandon(f.ticket)
+			e.metrics.Count(metrics.FlowsExpired, 1)
+		}
+		delete(e.flows, key)
+	}
+}
+
+// Flows returns how many flows are remembered.
+func (e *Engine) Flows() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.flows)
+}
--- /dev/null
+++ b/internal/directory/builder.go
@@ -0,0 +1,241 @@
+package directory
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Times for which servers are kept after their registration has vanished.
+const (
+	// MissingGrace is how long a server whose registration vanished without a
+	// drain still takes flows if its pool has no other server. Registrations that
+	// lapsed with the store are back within 2 s of its return.
+	MissingGrace = 2500 * time.Millisecond
+	// RetiredFor is how long packets of open flows still find a server whose
+	// registration has vanished: the longest life of a flow on the platform.
+	RetiredFor = 60 * time.Second
+)
+
+// Change is one item of a registry. Exactly one of Config, Server, Deleted and
+// Problem is set.
+type Change struct {
+	Revision uint64
+	Config   *Config
+	// Server is a valid registration.
+	Server *Server
+	// Deleted is the id of a registration that has vanished.
+	Deleted string
+	// Invalid is the id of a registration that names no usable server.
+	Invalid string
+	// Problem tells why an item is not usable.
+	Problem error
+}
+
+// Refusal reports a change that the builder did not take over as it is.
+type Refusal struct {
+	Revision uint64
+	// Subject is the id of the server, or "config".
+	Subject string
+	Reason  string
+}
+
+// Reasons of a Refusal.
+const (
+	ReasonOldVersion = "older configuration version"
+	ReasonCollision  = "cookie belongs to another server"
+)
+
+// Builder collects changes and builds directories. It is not safe for
+// concurrent use.
+type Builder struct {
+	revision uint64
+	config   *Config
+	servers  map[string]*Server
+}
+
+// NewBuilder returns a Builder that knows nothing.
+func NewBuilder() *Builder { return &Builder{servers: map[string]*Server{}} }
+
+// Reset takes over a complete reading of the registry: servers that are not in
+// it have vanished. The revision may only be lower than before if the store
+// was replaced.
+func (b *Builder) Reset(items []Change, revision uint64, now time.Time) []Refusal {
+	present := map[string]bool{}
+	for _, c := range items {
+		if c.Server != nil {
+			present[c.Server.Name] = true
+		}
+	}
+	for name := range b.servers {
+		if !present[name] {
+			b.vanish(name, now)
+		}
+	}
+	b.revision = 0
+	refused := b.Apply(items, revision, now)
+	return refused
+}
+
+// Apply takes over changes that follow the present revision, which they bring
+// up to the given one.
+func (b *Builder) Apply(changes []Change, revision uint64, now time.Time) []Refusal {
+	var refused []Refusal
+	for _, c := range changes {
+		if reason := b.apply(c, now); reason != "" {
+			refused = append(refused, Refusal{Revision: c.Revision, Subject: c.subject(), Reason: reason})
+		}
+	}
+	b.revision = max(b.revision, revision)
+	return refused
+}
+
+func (c Change) subject() string {
+	switch {
+	case c.Server != nil:
+		return c.Server.Name
+	case c.Invalid != "":
+		return c.Invalid
+	case c.Deleted != "":
+		return c.Deleted
+	}
+	return "config"
+}
+
+// apply returns why a change was refused, or "".
+func (b *Builder) apply(c Change, now time.Time) string {
+	switch {
+	case c.Config != nil:
+		if b.config != nil && c.Config.Version < b.config.Version {
+			return ReasonOldVersion
+		}
+		b.config = c.Config
+	case c.Server != nil:
+		return b.register(c.Server)
+	case c.Deleted != "":
+		b.vanish(c.Deleted, now)
+	case c.Invalid != "":
+		b.vanish(c.Invalid, now)
+		return c.Problem.Error()
+	case c.Problem != nil:
+		return c.Problem.Error()
+	}
+	return ""
+}
+
+func (b *Builder) register(s *Server) string {
+	b.servers[s.Name] = s
+	for _, other := range b.servers {
+		if other != s && other.Cookie == s.Cookie && !other.Retired {
+			return ReasonCollision
+		}
+	}
+	return ""
+}
+
+// vanish keeps the server for its open flows. One that did not drain has
+// crashed, or its registration has lapsed with the store.
+func (b *Builder) vanish(name string, now time.Time) {
+	old := b.servers[name]
+	if old == nil || !old.Missing.IsZero() {
+		return
+	}
+	gone := *old
+	gone.Missing = now
+	gone.Retired = old.Draining
+	b.servers[name] = &gone
+}
+
+// Expire retires and forgets servers by their age. It reports whether
+// something changed.
+func (b *Builder) Expire(now time.Time) bool {
+	changed := false
+	for name, s := range b.servers {
+		switch age := now.Sub(s.Missing); {
+		case s.Missing.IsZero():
+		case age >= RetiredFor:
+			delete(b.servers, name)
+			changed = true
+		case age >= MissingGrace && !s.Retired:
+			gone := *s
+			gone.Retired = true
+			b.servers[name] = &gone
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Revision returns the revision up to which all changes were applied.
+func (b *Builder) Revision() uint64 { return b.revision }
+
+// Ready reports whether a configuration is known.
+func (b *Builder) Ready() bool { return b.config != nil }
+
+// Build returns the present state.
+func (b *Builder) Build() *Directory {
+	d := &Directory{
+		Revision: b.revision,
+		Config:   b.config,
+		routes:   map[netip.AddrPort]*Route{},
+		pools:    map[string][]*Server{},
+		byCookie: make(map[Cookie]*Server, len(b.servers)),
+		byName:   make(map[string]*Server, len(b.servers)),
+	}
+	if b.config != nil {
+		for i := range b.config.Routes {
+			r := &b.config.Routes[i]
+			d.routes[r.Address] = r
+		}
+	}
+	missing := map[string][]*Server{}
+	for _, s := range b.ordered() {
+		d.byName[s.Name] = s
+		if d.byCookie[s.Cookie] != nil {
+			continue // the server that registered first keeps the cookie
+		}
+		d.byCookie[s.Cookie] = s
+		switch {
+		case s.Draining, s.Retired:
+		case !s.Missing.IsZero():
+			missing[s.Pool] = append(missing[s.Pool], s)
+		default:
+			d.pools[s.Pool] = append(d.pools[s.Pool], s)
+		}
+	}
+	for pool, servers := range missing {
+		if len(d.pools[pool]) == 0 {
+			d.pools[pool] = servers
+		}
+	}
+	for _, servers := range d.pools {
+		slices.SortFunc(servers, func(a, b *Server) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return d
+}
+
+// ordered returns the servers in the order in which they take cookies: present
+// ones first, then by their first registration, which all daemons read alike.
+func (b *Builder) ordered() []*Server {
+	servers := make([]*Server, 0, len(b.servers))
+	for _, s := range b.servers {
+		servers = append(servers, s)
+	}
+	slices.SortFunc(servers, func(x, y *Server) int {
+		if x.Retired != y.Retired {
+			if x.Retired {
+				return 1
+			}
+			return -1
+		}
+		if x.Created != y.Created {
+			if x.Created < y.Created {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(x.Name, y.Name)
+	})
+	return servers
+}
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,143 @@
+// Package directory holds what a daemon knows of the routes and of the backend
+// servers that register themselves, as immutable values, and builds the next
+// value from what a registry reports.
+package directory
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Cookie names a backend server in 32 bits that a carrier gives back with every
+// packet of a flow. Zero names none.
+type Cookie uint32
+
+// CookieOf folds the number of a server into a cookie. All daemons compute the
+// same cookie without exchanging messages.
+func CookieOf(number uint64) Cookie {
+	c := Cookie(number) ^ Cookie(number>>32)
+	if c == 0 {
+		return 1
+	}
+	return c
+}
+
+// Server is one backend server.
+type Server struct {
+	// Name is the id under which the server registered.
+	Name string
+	// Number is the id as the server compares it with that of a packet.
+	Number   uint64
+	Cookie   Cookie
+	Pool     string
+	Endpoint netip.AddrPort
+	Zone     string
+	// Slots is how many requests the server works on at once.
+	Slots int
+	// Draining servers keep their flows and take no new ones.
+	Draining bool
+	// ColdFor is how much longer the server was slow when it registered, and
+	// Seen when this daemon read that.
+	ColdFor time.Duration
+	Seen    time.Time
+	// Started tells two processes apart that use one id.
+	Started int64
+	// Created and Revision are the store's revisions of the first and the last
+	// change of the registration.
+	Created, Revision uint64
+	// Missing is when the registration vanished without the server having
+	// drained; zero while it is registered.
+	Missing time.Time
+	// Retired servers are kept only for the packets of their open flows.
+	Retired bool
+}
+
+// Cold reports whether the server has started so recently that it is slow.
+func (s *Server) Cold(now time.Time) bool { return now.Sub(s.Seen) < s.ColdFor }
+
+// Share is the part of a route's new flows that goes to one pool.
+type Share struct {
+	Pool   string
+	Weight int
+}
+
+// Route says which traffic belongs to which pools.
+type Route struct {
+	Name    string
+	Address netip.AddrPort
+	// Shares has at least one entry with a positive weight.
+	Shares []Share
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Timeout is how long a request may take.
+	Timeout time.Duration
+	// TargetLatency is within which a response is worth the most.
+	TargetLatency time.Duration
+}
+
+// Pool returns the pool for a new flow; draw is uniformly distributed.
+func (r *Route) Pool(draw uint64) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Pool
+	}
+	total := uint64(0)
+	for _, s := range r.Shares {
+		total += uint64(s.Weight)
+	}
+	at := draw % total
+	for _, s := range r.Shares {
+		if at < uint64(s.Weight) {
+			return s.Pool
+		}
+		at -= uint64(s.Weight)
+	}
+	return r.Shares[len(r.Shares)-1].Pool
+}
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	Version uint64
+	Routes  []Route
+	// Connections is how many flows a server of the pool accepts.
+	Connections map[string]int
+	// IdleTimeout is after which a flow without packets may be forgotten; zero
+	// if the configuration has none.
+	IdleTimeout time.Duration
+}
+
+// Directory is one state of routes and servers. It is immutable.
+type Directory struct {
+	// Revision is the store's revision up to which the state is complete.
+	Revision uint64
+	Config   *Config
+
+	routes   map[netip.AddrPort]*Route
+	pools    map[string][]*Server
+	byCookie map[Cookie]*Server
+	byName   map[string]*Server
+}
+
+// Route returns the route of an address, or nil.
+func (d *Directory) Route(a netip.AddrPort) *Route { return d.routes[a] }
+
+// Candidates returns the servers of a pool that take new flows, in the order of
+// their names. The caller must not change them.
+func (d *Directory) Candidates(pool string) []*Server { return d.pools[pool] }
+
+// ByCookie returns the server that a cookie names, or nil. Retired servers are
+// found for as long as flows to them may be open.
+func (d *Directory) ByCookie(c Cookie) *Server { return d.byCookie[c] }
+
+// ByName returns a registered server, or nil.
+func (d *Directory) ByName(name string) *Server { return d.byName[name] }
+
+// Servers returns how many servers are known, retired ones left out.
+func (d *Directory) Servers() int {
+	n := 0
+	for _, s := range d.byName {
+		if !s.Retired {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/entry/daemon.go
@@ -0,0 +1,161 @@
+// Package entry builds and runs the daemon behind a carrier with cookies: it
+// forwards the packets of callers and keeps its directory and its view of the
+// other daemons up to date.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"knapweedshore.example/internal/cookie"
+	"knapweedshore.example/internal/directory"
+	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/placement"
+	"knapweedshore.example/internal/registry"
+	"knapweedshore.example/internal/settings"
+	"knapweedshore.example/internal/wait"
+)
+
+// Times of the daemon.
+const (
+	// drainShare is the part of the grace period for which a daemon that was
+	// asked to end goes on forwarding. The fabric asks twice a second and stops
+	// sending after two misses.
+	drainShare = 0.4
+	// expireInterval is how often finished flows are forgotten.
+	expireInterval = 100 * time.Millisecond
+	// readyTimeout bounds a readiness request.
+	readyTimeout = 2 * time.Second
+)
+
+// Options are what a Daemon is built from.
+type Options struct {
+	Settings *settings.Entry
+	Source   registry.Source
+	Codec    cookie.Codec
+	// ReadyPattern is the method and path of the readiness request.
+	ReadyPattern string
+	Metrics      *metrics.Registry
+	Log          *events.Logger
+}
+
+// Daemon is one running entry daemon.
+type Daemon struct {
+	options  Options
+	follower *registry.Follower
+	placer   *placement.Placer
+	engine   *cookie.Engine
+	leaving  atomic.Bool
+
+	data  *net.UDPConn
+	ready net.Listener
+}
+
+// New opens the daemon's sockets. Call Run next.
+func New(o Options) (*Daemon, error) {
+	d := &Daemon{options: o, follower: registry.NewFollower(o.Source, o.Log, o.Metrics), placer: placement.New(o.Settings.Zone)}
+	d.engine = cookie.NewEngine(o.Codec, d.follower, d.placer, o.Metrics, o.Log)
+	d.follower.OnChange(func(dir *directory.Directory) { d.placer.Keep(dir) })
+	data, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Settings.Data))
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for packets on %s", o.Settings.Data)
+	}
+	ready, err := net.Listen("tcp4", o.Settings.Ready.String())
+	if err != nil {
+		_ = data.Close() // the first error is the one to report
+		return nil, errors.Wrapf(err, "listen for readiness requests on %s", o.Settings.Ready)
+	}
+	d.data, d.ready = data, ready
+	return d, nil
+}
+
+// Run serves until ctx ends and then forwards for part of the grace period. It
+// returns when all sockets are closed.
+func (d *Daemon) Run(ctx context.Context) error {
+	s := d.options.Settings
+	d.options.Log.Log(events.DaemonStarted, zap.Stringer("data", s.Data), zap.String("zone", s.Zone), zap.Stringer("store", s.Store))
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var tasks conc.WaitGroup
+	tasks.Go(func() { d.follower.Run(serving) })
+	tasks.Go(func() { d.forward(serving) })
+	tasks.Go(func() { d.upkeep(serving) })
+	server := &http.Server{Handler: d.readiness(), ReadTimeout: readyTimeout, WriteTimeout: readyTimeout}
+	tasks.Go(func() {
+		if err := server.Serve(d.ready); !errors.Is(err, http.ErrServerClosed) {
+			d.options.Log.Log(events.DaemonFailed, zap.String("part", "readiness"), zap.Error(err))
+		}
+	})
+	<-ctx.Done()
+	d.leaving.Store(true)
+	d.options.Log.Log(events.DaemonLeaving)
+	wait.For(serving, time.Duration(drainShare*float64(s.Grace)))
+	stop()
+	_ = server.Close() // the process ends anyway
+	_ = d.data.Close() // ends the forwarding
+	tasks.Wait()
+	d.options.Log.Log(events.DaemonStopped)
+	return nil
+}
+
+// readiness answers the fabric: the daemon takes packets when it has a
+// directory and is not leaving.
+func (d *Daemon) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(d.options.ReadyPattern, func(w http.ResponseWriter, _ *http.Request) {
+		if d.leaving.Load() || d.follower.Current() == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// forward handles packets until the socket is closed.
+func (d *Daemon) forward(ctx context.Context) {
+	headroom := d.options.Codec.Headroom()
+	buffer := make([]byte, headroom+d.options.Codec.MaxPacket()+1)
+	port := d.options.Settings.Data.Port()
+	for ctx.Err() == nil {
+		n, _, err := d.data.ReadFromUDPAddrPort(buffer[headroom:])
+		if err != nil {
+			d.failed(ctx, "read packet", err)
+			continue
+		}
+		v := d.engine.Handle(buffer[:headroom+n], time.Now())
+		if !v.To.IsValid() {
+			continue
+		}
+		if v.Reset {
+			v.To = withPort(v.To, port)
+		}
+		if _, err := d.data.WriteToUDPAddrPort(v.Bytes, v.To); err != nil {
+			d.options.Metrics.Refused(metrics.SendFailed)
+		}
+	}
+}
+
+// failed reports an error of the packet socket, unless the daemon is ending.
+func (d *Daemon) failed(ctx context.Context, step string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	d.options.Log.Log(events.DaemonFailed, zap.String("part", step), zap.Error(err))
+	wait.For(ctx, 10*time.Millisecond)
+}
+
+// upkeep forgets what has ended.
+func (d *Daemon) upkeep(ctx context.Context) {
+	for wait.For(ctx, expireInterval) {
+		now := time.Now()
+		d.engine.Expire(now)
+		d.placer.ExpirePeers(now)
+	}
+}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -6,6 +6,8 @@
 	info = zapcore.InfoLevel
 	warn = zapcore.WarnLevel
 	fail = zapcore.ErrorLevel
+
+	debug = zapcore.DebugLevel
 )
 
 // Events of the daemon's life, 100 to 199.
@@ -39,6 +41,9 @@
 	FetchFailed     = Event{304, warn, "tables not fetched from a peer", "none, unless it repeats for one peer"}
 	StoreDown       = Event{310, warn, "store call failed", "check the platform store"}
 	StoreBack       = Event{311, info, "store answers again", "none"}
+
+	DirectoryApplied = Event{320, info, "directory applied", "none"}
+	ItemRefused      = Event{321, warn, "store item refused", "find the writer of the item"}
 )
 
 // Events of flows and servers, 400 to 499.
@@ -50,6 +55,8 @@
 	FlowTableFull    = Event{410, fail, "flow table is full", "add VMs or raise max_flows"}
 	NewFlowLimited   = Event{411, warn, "new-flow rate limit reached", "add VMs or raise new_flows_per_second"}
 	BackupChanged    = Event{420, info, "backup for exceptions changed", "none"}
+	FlowPlaced       = Event{430, debug, "flow placed", "none"}
+	FlowRefused      = Event{431, info, "flow refused", "look at the reason"}
 )
 
 // All returns every event in the order of its number.
@@ -58,6 +65,8 @@
 		DaemonStarted, DaemonLeaving, DaemonStopped, DaemonPaused, StandingBack, DaemonFailed,
 		MemberJoined, MemberLeaving, MemberSuspected, MemberDied, MemberRefuted, LinkOpened, LinkLost, PeerRefused,
 		TablesApplied, TablesRegressed, TablesInvalid, TablesOld, FetchFailed, StoreDown, StoreBack,
+		DirectoryApplied, ItemRefused,
 		ServerEjected, ServerReinstated, EjectionFloor, SilentFlow, FlowTableFull, NewFlowLimited, BackupChanged,
+		FlowPlaced, FlowRefused,
 	}
 }
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -30,6 +30,8 @@
 	StoreBudget       Reason = "store_budget"
 	SendFailed        Reason = "send_failed"
 	SilentFlow        Reason = "silent_flow"
+	NoCookie          Reason = "no_cookie"
+	UnknownCookie     Reason = "unknown_cookie"
 )
 
 var refusalReasons = []Reason{
@@ -38,7 +40,7 @@
 	FlowTableFull, NewFlowRate, NoStanding, NoOwner, NoTables, ResetUnconfirmed,
 	ICMPUnknownFlow, StaleTables, PeerNotMember, PeerRefused, LinkQueueFull, ExceptionBudget,
 	ExceptionStale, TablesRegressed, StoreBudget, SendFailed,
-	SilentFlow,
+	SilentFlow, NoCookie, UnknownCookie,
 }
 
 // Reasons for repeating a call.
@@ -52,11 +54,12 @@
 	TablesGap        Reason = "tables_gap"
 	ExceptionResend  Reason = "exception_resend"
 	ServerMoved      Reason = "server_moved"
+	HistoryLost      Reason = "history_lost"
 )
 
 var retryReasons = []Reason{
 	StoreTimeout, StoreUnavailable, StoreThrottled, StoreConflict, LinkDial,
-	LinkBroken, TablesGap, ExceptionResend, ServerMoved,
+	LinkBroken, TablesGap, ExceptionResend, ServerMoved, HistoryLost,
 }
 
 // Totals.
--- /dev/null
+++ b/internal/settings/entry.go
@@ -0,0 +1,113 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"path/filepath"
+	"time"
+)
+
+// Entry are the settings of a daemon behind a carrier with cookies. They are
+// checked and must not be changed.
+type Entry struct {
+	// Name is unique in the region.
+	Name   string
+	Region string
+	Zone   string
+
+	// Data is where packets arrive, Ready where the fabric asks whether to send
+	// them.
+	Data  netip.AddrPort
+	Ready netip.AddrPort
+	// Peer is the UDP address for the other daemons. All daemons use the same
+	// port.
+	Peer netip.AddrPort
+	// Metrics is where expvar is served.
+	Metrics netip.AddrPort
+	// Store is the address of the platform's key-value service.
+	Store netip.AddrPort
+	// Seeds are addresses of other VMs of the region; only the IP addresses are used.
+	Seeds []netip.AddrPort
+
+	// Grace is the time between the signals that ask and force the daemon to end.
+	Grace time.Duration
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+}
+
+// LoadEntry reads and checks a settings file. The error is an *InvalidError if
+// the file could be read.
+func LoadEntry(path string) (*Entry, error) {
+	data, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseEntry(path, data)
+}
+
+// ParseEntry checks the content of a settings file; path names it in errors.
+// The error is an *InvalidError with all problems of the file.
+func ParseEntry(path string, data []byte) (*Entry, error) {
+	p := parser{file: path, keys: entryKeys, draft: draft{dir: filepath.Dir(path)}}
+	p.parse(data)
+	if err := p.err(); err != nil {
+		return nil, err
+	}
+	return &p.draft.entry, nil
+}
+
+// EntryKeys returns every key of the settings file of an entry daemon in the
+// order of the reference.
+func EntryKeys() []Key { return entryKeys }
+
+var entryKeys = []Key{
+	{Section: "vm", Name: "name", Required: true,
+		Meaning: "name of this VM, unique in its region",
+		set:     func(s *draft, v string) string { return name(&s.entry.Name, v) }},
+	{Section: "vm", Name: "region", Required: true,
+		Meaning: "region of this VM",
+		set:     func(s *draft, v string) string { return name(&s.entry.Region, v) }},
+	{Section: "vm", Name: "zone", Required: true,
+		Meaning: "availability zone of this VM",
+		set:     func(s *draft, v string) string { return name(&s.entry.Zone, v) }},
+
+	{Section: "addresses", Name: "data", Required: true,
+		Meaning: "UDP address for callers' packets",
+		set:     func(s *draft, v string) string { return remoteAddress(&s.entry.Data, v) }},
+	{Section: "addresses", Name: "ready", Required: true,
+		Meaning: "TCP address where the fabric asks over HTTP whether the daemon takes packets",
+		set:     func(s *draft, v string) string { return remoteAddress(&s.entry.Ready, v) }},
+	{Section: "addresses", Name: "peer", Required: true,
+		Meaning: "UDP address for the other daemons; the port is the same on all VMs",
+		set:     func(s *draft, v string) string { return remoteAddress(&s.entry.Peer, v) }},
+	{Section: "addresses", Name: "metrics", Default: "127.0.0.1:7480",
+		Meaning: "TCP address where counters are served over HTTP at /debug/vars",
+		set:     func(s *draft, v string) string { return address(&s.entry.Metrics, v) }},
+	{Section: "addresses", Name: "store", Required: true,
+		Meaning: "TCP address of the platform store, reached over HTTP",
+		set:     func(s *draft, v string) string { return remoteAddress(&s.entry.Store, v) }},
+	{Section: "addresses", Name: "seeds", Default: "",
+		Meaning: "addresses of some VMs of the region, separated by commas; their IP addresses find the first peers",
+		set:     func(s *draft, v string) string { return addresses(&s.entry.Seeds, v, 0) }},
+
+	{Section: "limits", Name: "grace_s", Default: "6",
+		Meaning: "seconds between SIGTERM and SIGKILL",
+		set:     func(s *draft, v string) string { return seconds(&s.entry.Grace, v, maxGrace) }},
+
+	{Section: "log", Name: "level", Default: "info",
+		Meaning: "lowest level that is logged: debug, info, warn or error",
+		set:     func(s *draft, v string) string { return level(&s.entry.LogLevel, v) }},
+}
+
+// maxGrace bounds the setting to what service managers allow.
+const maxGrace = time.Hour
+
+// seconds accepts a positive number of seconds, which may have a fraction.
+func seconds(to *time.Duration, v string, most time.Duration) string {
+	d, err := time.ParseDuration(v + "s")
+	if err != nil || d <= 0 || d > most {
+		return fmt.Sprintf("a number of seconds above 0 and up to %.0f", most.Seconds())
+	}
+	*to = d
+	return ""
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -21,6 +21,7 @@
 // draft is a Settings value in the making.
 type draft struct {
 	Settings
+	entry Entry
 	// dir is the directory that relative paths start from.
 	dir string
 }
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -17,6 +17,14 @@
 // Load reads and checks a settings file. Relative paths in it start at its
 // directory. The error is an *InvalidError if the file could be read.
 func Load(path string) (*Settings, error) {
+	data, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, data)
+}
+
+func read(path string) ([]byte, error) {
 	info, err := os.Stat(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "read settings")
@@ -28,14 +36,26 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read settings")
 	}
-	return Parse(path, data)
+	return data, nil
 }
 
 // Parse checks the content of a settings file; path names it in errors and
 // gives the directory of relative paths. The error is an *InvalidError with all
 // problems of the file.
 func Parse(path string, data []byte) (*Settings, error) {
-	p := parser{file: path, draft: draft{dir: filepath.Dir(path)}}
+	p := parser{file: path, keys: keys, draft: draft{dir: filepath.Dir(path)}}
+	if !p.parse(data) {
+		return nil, p.err()
+	}
+	p.together()
+	if err := p.err(); err != nil {
+		return nil, err
+	}
+	return &p.draft.Settings, nil
+}
+
+// parse checks the file key by key. It reports false if it is no INI file.
+func (p *parser) parse(data []byte) bool {
 	file, err := ini.LoadSources(ini.LoadOptions{
 		// Shadows make a key that is given twice visible.
 		AllowShadows:               true,
@@ -47,22 +67,19 @@
 	}, data)
 	if err != nil {
 		p.report("", "", "", fmt.Sprintf("an INI file (%v)", err))
-		return nil, p.err()
+		return false
 	}
 	p.unknown(file)
-	for _, k := range keys {
+	for _, k := range p.keys {
 		p.key(file, k)
 	}
-	p.together()
-	if err := p.err(); err != nil {
-		return nil, err
-	}
-	return &p.draft.Settings, nil
+	return true
 }
 
 // parser collects the settings and the problems of one file.
 type parser struct {
 	file     string
+	keys     []Key
 	draft    draft
 	problems []Problem
 }
@@ -83,14 +100,14 @@
 func (p *parser) unknown(file *ini.File) {
 	seen := map[string]bool{}
 	for _, s := range file.Sections() {
-		known := keyNames(s.Name())
+		known := p.keyNames(s.Name())
 		switch {
 		case s.Name() == ini.DefaultSection:
 			for _, k := range s.Keys() {
 				p.report("", k.Name(), k.Value(), "a section line such as [vm] before the first key")
 			}
 		case known == nil:
-			p.report(s.Name(), "", "", "one of the sections "+strings.Join(sectionNames(), ", "))
+			p.report(s.Name(), "", "", "one of the sections "+strings.Join(p.sectionNames(), ", "))
 		case seen[s.Name()]:
 			p.report(s.Name(), "", "", "each section once")
 		default:
@@ -137,9 +154,9 @@
 	s.Seeds = withoutSelf(s.Seeds, s.Control)
 }
 
-func keyNames(section string) []string {
+func (p *parser) keyNames(section string) []string {
 	var names []string
-	for _, k := range keys {
+	for _, k := range p.keys {
 		if k.Section == section {
 			names = append(names, k.Name)
 		}
@@ -147,9 +164,9 @@
 	return names
 }
 
-func sectionNames() []string {
+func (p *parser) sectionNames() []string {
 	var names []string
-	for _, k := range keys {
+	for _, k := range p.keys {
 		if !slices.Contains(names, k.Section) {
 			names = append(names, k.Section)
 		}
