Tell peers the load and the news, and watch the store from two zones

Change: reports over UDP carry the requests in progress and the revision of the directory; a daemon that is behind fetches items from a peer over drpc. The first live daemon of the first two zones watches; the others do when the directory is not confirmed, or a revision is not handed on in 500 ms.

Ruled out: handing on items in the datagrams (a configuration does not fit).

--- a/cmd/knapweedshored/entry.go
+++ b/cmd/knapweedshored/entry.go
@@ -47,7 +47,7 @@
 	store := platform.NewStore(s.Store)
 	defer store.Close()
 	d, err := entry.New(entry.Options{
-		Settings: s, Source: store, Codec: platform.Codec{}, ReadyPattern: platform.ReadyPattern,
+		Settings: s, Source: store, Decoder: platform.Decoder{}, Codec: platform.Codec{}, ReadyPattern: platform.ReadyPattern,
 		Metrics: metrics.NewRegistry(), Log: events.New(logger).With(zap.String("vm", s.Name)),
 	})
 	if err != nil {
--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -18,8 +19,8 @@
 	RetiredFor = 60 * time.Second
 )
 
-// Change is one item of a registry. Exactly one of Config, Server, Deleted and
-// Problem is set.
+// Change is one item of a registry. Exactly one of Config, Server, Deleted, VM,
+// DeletedVM and Problem is set.
 type Change struct {
 	Revision uint64
 	Config   *Config
@@ -29,6 +30,10 @@
 	Deleted string
 	// Invalid is the id of a registration that names no usable server.
 	Invalid string
+	// VM is the registration of a daemon, DeletedVM the address of one that has
+	// vanished.
+	VM        *VM
+	DeletedVM netip.Addr
 	// Problem tells why an item is not usable.
 	Problem error
 }
@@ -53,29 +58,12 @@
 	revision uint64
 	config   *Config
 	servers  map[string]*Server
+	vms      map[netip.Addr]*VM
 }
 
 // NewBuilder returns a Builder that knows nothing.
-func NewBuilder() *Builder { return &Builder{servers: map[string]*Server{}} }
-
-// Reset takes over a complete reading of the registry: servers that are not in
-// it have vanished. The revision may only be lower than before if the store
-// was replaced.
-func (b *Builder) Reset(items []Change, revision uint64, now time.Time) []Refusal {
-	present := map[string]bool{}
-	for _, c := range items {
-		if c.Server != nil {
-			present[c.Server.Name] = true
-		}
-	}
-	for name := range b.servers {
-		if !present[name] {
-			b.vanish(name, now)
-		}
-	}
-	b.revision = 0
-	refused := b.Apply(items, revision, now)
-	return refused
+func NewBuilder() *Builder {
+	return &Builder{servers: map[string]*Server{}, vms: map[netip.Addr]*VM{}}
 }
 
 // Apply takes over changes that follow the present revision, which they bring
@@ -118,6 +106,10 @@
 	case c.Invalid != "":
 		b.vanish(c.Invalid, now)
 		return c.Problem.Error()
+	case c.VM != nil:
+		b.vms[c.VM.Addr] = c.VM
+	case c.DeletedVM.IsValid():
+		delete(b.vms, c.DeletedVM)
 	case c.Problem != nil:
 		return c.Problem.Error()
 	}
@@ -182,6 +174,7 @@
 		pools:    map[string][]*Server{},
 		byCookie: make(map[Cookie]*Server, len(b.servers)),
 		byName:   make(map[string]*Server, len(b.servers)),
+		vms:      maps.Clone(b.vms),
 	}
 	if b.config != nil {
 		for i := range b.config.Routes {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -115,8 +115,19 @@
 	pools    map[string][]*Server
 	byCookie map[Cookie]*Server
 	byName   map[string]*Server
+	vms      map[netip.Addr]*VM
 }
 
+// VM is a registered daemon.
+type VM struct {
+	Name, Zone string
+	Addr       netip.Addr
+}
+
+// VMs returns the registered daemons by address. The caller must not change
+// the map.
+func (d *Directory) VMs() map[netip.Addr]*VM { return d.vms }
+
 // Route returns the route of an address, or nil.
 func (d *Directory) Route(a netip.AddrPort) *Route { return d.routes[a] }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -17,6 +17,7 @@
 	"knapweedshore.example/internal/cookie"
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/exchange"
 	"knapweedshore.example/internal/metrics"
 	"knapweedshore.example/internal/placement"
 	"knapweedshore.example/internal/registry"
@@ -40,6 +41,7 @@
 type Options struct {
 	Settings *settings.Entry
 	Source   registry.Source
+	Decoder  registry.Decoder
 	Codec    cookie.Codec
 	// ReadyPattern is the method and path of the readiness request.
 	ReadyPattern string
@@ -53,6 +55,8 @@
 	follower *registry.Follower
 	placer   *placement.Placer
 	engine   *cookie.Engine
+	table    *exchange.Table
+	exchange *exchange.Exchange
 	leaving  atomic.Bool
 
 	data  *net.UDPConn
@@ -61,20 +65,49 @@
 
 // New opens the daemon's sockets. Call Run next.
 func New(o Options) (*Daemon, error) {
-	d := &Daemon{options: o, follower: registry.NewFollower(o.Source, o.Log, o.Metrics), placer: placement.New(o.Settings.Zone)}
+	watch := registry.WatchTimesFor(o.Settings.Recovery)
+	d := &Daemon{options: o, placer: placement.New(o.Settings.Zone)}
+	d.follower = registry.NewFollower(registry.Options{
+		Source: o.Source, Decoder: o.Decoder, Log: o.Log, Metrics: o.Metrics, Watch: watch,
+	})
 	d.engine = cookie.NewEngine(o.Codec, d.follower, d.placer, o.Metrics, o.Log)
-	d.follower.OnChange(func(dir *directory.Directory) { d.placer.Keep(dir) })
+	d.table = exchange.NewTable(exchange.TableOptions{
+		Self: o.Settings.Peer.Addr(), Zone: o.Settings.Zone, Seeds: addrs(o.Settings.Seeds), MaxAge: watch.MaxAge(),
+		Own: func(now time.Time) (uint64, time.Duration) { return d.follower.Revision(), d.follower.Age(now) },
+	})
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	d.follower.OnChange(d.placer.Keep)
+	d.follower.OnChange(d.exchange.Apply)
+	d.placer.OnChange(d.exchange.Changed)
+	d.placer.SetUnreachable(d.table.Silent)
+	return d, nil
+}
+
+// listen opens the daemon's sockets.
+func (d *Daemon) listen() error {
+	o := d.options
 	data, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Settings.Data))
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen for packets on %s", o.Settings.Data)
+		return errors.Wrapf(err, "listen for packets on %s", o.Settings.Data)
 	}
 	ready, err := net.Listen("tcp4", o.Settings.Ready.String())
 	if err != nil {
 		_ = data.Close() // the first error is the one to report
-		return nil, errors.Wrapf(err, "listen for readiness requests on %s", o.Settings.Ready)
+		return errors.Wrapf(err, "listen for readiness requests on %s", o.Settings.Ready)
 	}
-	d.data, d.ready = data, ready
-	return d, nil
+	peers, err := exchange.New(exchange.Options{
+		VM: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.Peer, Table: d.table,
+		Follower: d.follower, Placer: d.placer, Metrics: o.Metrics, Log: o.Log,
+	})
+	if err != nil {
+		_ = data.Close()
+		_ = ready.Close()
+		return err
+	}
+	d.data, d.ready, d.exchange = data, ready, peers
+	return nil
 }
 
 // Run serves until ctx ends and then forwards for part of the grace period. It
@@ -85,17 +118,20 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var tasks conc.WaitGroup
-	tasks.Go(func() { d.follower.Run(serving) })
+	tasks.Go(func() { d.follower.Run(serving, d.table) })
+	tasks.Go(func() { d.exchange.Run(serving) })
+	tasks.Go(func() { d.registration().Run(serving) })
 	tasks.Go(func() { d.forward(serving) })
 	tasks.Go(func() { d.upkeep(serving) })
 	server := &http.Server{Handler: d.readiness(), ReadTimeout: readyTimeout, WriteTimeout: readyTimeout}
 	tasks.Go(func() {
 		if err := server.Serve(d.ready); !errors.Is(err, http.ErrServerClosed) {
-			d.options.Log.Log(events.DaemonFailed, zap.String("part", "readiness"), zap.Error(err))
+			d.options.Log.Log(events.DaemonFailed, zap.String("part", "readiness"), events.Cause(err))
 		}
 	})
 	<-ctx.Done()
 	d.leaving.Store(true)
+	d.exchange.Leave()
 	d.options.Log.Log(events.DaemonLeaving)
 	wait.For(serving, time.Duration(drainShare*float64(s.Grace)))
 	stop()
@@ -106,6 +142,14 @@
 	return nil
 }
 
+func (d *Daemon) registration() *registry.Registration {
+	s := d.options.Settings
+	return &registry.Registration{
+		VM:     directory.VM{Name: s.Name, Zone: s.Zone, Addr: s.Peer.Addr()},
+		Source: d.options.Source, Follower: d.follower, Log: d.options.Log, Metrics: d.options.Metrics,
+	}
+}
+
 // readiness answers the fabric: the daemon takes packets when it has a
 // directory and is not leaving.
 func (d *Daemon) readiness() http.Handler {
@@ -147,7 +191,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	d.options.Log.Log(events.DaemonFailed, zap.String("part", step), zap.Error(err))
+	d.options.Log.Log(events.DaemonFailed, zap.String("part", step), events.Cause(err))
 	wait.For(ctx, 10*time.Millisecond)
 }
 
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -44,6 +44,9 @@
 
 	DirectoryApplied = Event{320, info, "directory applied", "none"}
 	ItemRefused      = Event{321, warn, "store item refused", "find the writer of the item"}
+	WatchDuty        = Event{322, info, "duty to watch the store has changed", "none"}
+
+	RegistrationFailed = Event{323, warn, "registration in the store failed", "check the platform store"}
 )
 
 // Events of flows and servers, 400 to 499.
@@ -65,7 +68,7 @@
 		DaemonStarted, DaemonLeaving, DaemonStopped, DaemonPaused, StandingBack, DaemonFailed,
 		MemberJoined, MemberLeaving, MemberSuspected, MemberDied, MemberRefuted, LinkOpened, LinkLost, PeerRefused,
 		TablesApplied, TablesRegressed, TablesInvalid, TablesOld, FetchFailed, StoreDown, StoreBack,
-		DirectoryApplied, ItemRefused,
+		DirectoryApplied, ItemRefused, WatchDuty, RegistrationFailed,
 		ServerEjected, ServerReinstated, EjectionFloor, SilentFlow, FlowTableFull, NewFlowLimited, BackupChanged,
 		FlowPlaced, FlowRefused,
 	}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -36,3 +36,7 @@
 		ce.Write(append(fields, zap.Int("event", e.Number))...)
 	}
 }
+
+// Cause returns the field for an error: its message without the call stack that
+// zap.Error would add.
+func Cause(err error) zap.Field { return zap.String("error", err.Error()) }
--- /dev/null
+++ b/internal/exchange/message.go
@@ -0,0 +1,88 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"knapweedshore.example/internal/directory"
+	"knapweedshore.example/internal/registry"
+	"knapweedshore.example/peerapi"
+)
+
+// maxReport bounds a datagram: what fits into one packet of the network. A
+// daemon that works with more servers than fit leaves out some.
+const (
+	maxReport  = 1400
+	maxServers = 150
+)
+
+func encodeReport(r Report) ([]byte, error) {
+	m := &peerapi.Report{
+		Vm: r.VM, Zone: r.Zone, Start: r.Start, Sequence: r.Sequence, Revision: r.Revision,
+		AgeMs: uint64(r.Age.Milliseconds()), Watching: r.Watching, Leaving: r.Leaving,
+	}
+	for c, n := range r.Working {
+		if len(m.Working) == maxServers {
+			break
+		}
+		m.Working = append(m.Working, &peerapi.ServerLoad{Cookie: uint32(c), Requests: uint32(n)})
+	}
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode report")
+	}
+	return b, nil
+}
+
+// maxRequests bounds what a report may claim of one server.
+const maxRequests = 1 << 20
+
+func decodeReport(b []byte) (Report, error) {
+	var m peerapi.Report
+	if err := proto.Unmarshal(b, &m); err != nil {
+		return Report{}, errors.Wrap(err, "decode report")
+	}
+	if m.Vm == "" || m.Zone == "" || m.Start == 0 {
+		return Report{}, errors.New("report lacks the VM, the zone or the start")
+	}
+	r := Report{
+		VM: m.Vm, Zone: m.Zone, Start: m.Start, Sequence: m.Sequence, Revision: m.Revision,
+		Age: milliseconds(m.AgeMs), Watching: m.Watching, Leaving: m.Leaving,
+		Working: make(map[directory.Cookie]int, len(m.Working)),
+	}
+	for _, w := range m.Working {
+		r.Working[directory.Cookie(w.Cookie)] = int(min(w.Requests, maxRequests))
+	}
+	return r, nil
+}
+
+// maxAge bounds ages in messages, so that they cannot overflow.
+const maxAge = 24 * time.Hour
+
+func milliseconds(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(maxAge.Milliseconds()))) * time.Millisecond
+}
+
+func encodeReading(r registry.Reading, now time.Time) *peerapi.FetchItemsResponse {
+	m := &peerapi.FetchItemsResponse{Revision: r.Revision, Complete: r.Complete}
+	for _, i := range r.Items {
+		m.Items = append(m.Items, &peerapi.Item{
+			Key: i.Key, Value: i.Value, Revision: i.Revision, Created: i.Created, Deleted: i.Deleted,
+			AgeMs: uint64(max(0, now.Sub(i.Read)).Milliseconds()),
+		})
+	}
+	return m
+}
+
+func decodeReading(m *peerapi.FetchItemsResponse, now time.Time) registry.Reading {
+	r := registry.Reading{Revision: m.Revision, Complete: m.Complete}
+	for _, i := range m.Items {
+		r.Items = append(r.Items, registry.Item{
+			Key: i.Key, Value: i.Value, Revision: i.Revision, Created: i.Created, Deleted: i.Deleted,
+			Read: now.Add(-milliseconds(i.AgeMs)),
+		})
+	}
+	return r
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -85,8 +85,19 @@
 	zones   map[string]*silence
 	work    map[string]time.Duration // by route
 	peers   map[string]*peerLoad
+
+	onChange    func()
+	unreachable func(zone string, now time.Time) bool
 }
 
+// OnChange sets what is called after the requests in progress have changed. Call
+// it before the first flow.
+func (p *Placer) OnChange(fn func()) { p.onChange = fn }
+
+// SetUnreachable sets what tells that another zone is probably cut off. Call it
+// before the first flow.
+func (p *Placer) SetUnreachable(fn func(zone string, now time.Time) bool) { p.unreachable = fn }
+
 // server is what is known of one backend server.
 type server struct {
 	// working are the requests in progress that this daemon has placed.
@@ -103,6 +114,7 @@
 	return &Placer{
 		zone: zone, servers: map[directory.Cookie]*server{}, zones: map[string]*silence{},
 		work: map[string]time.Duration{}, peers: map[string]*peerLoad{},
+		onChange: func() {}, unreachable: func(string, time.Time) bool { return false },
 	}
 }
 
@@ -149,6 +161,7 @@
 	rec := p.server(best.Cookie)
 	t := &Ticket{server: best.Cookie, zone: best.Zone, route: r.Route.Name, opened: r.Now, queue: queue(rec, best)}
 	rec.working++
+	p.onChange()
 	rec.waitFor(r.Now)
 	if best.Zone != p.zone {
 		p.zoneSilence(best.Zone).waitFor(r.Now)
@@ -169,7 +182,7 @@
 	cost := slowness * queue(rec, s) * p.workOf(r.Route.Name).Seconds()
 	if s.Zone != p.zone {
 		cost += otherZoneCost.Seconds()
-		if p.zoneSilence(s.Zone).suspected(r.Now) {
+		if p.zoneSilence(s.Zone).suspected(r.Now) || p.unreachable(s.Zone, r.Now) {
 			cost += suspicionCost.Seconds()
 		}
 	}
@@ -251,6 +264,7 @@
 	t.closed = true
 	if rec := p.servers[t.server]; rec != nil && rec.working > 0 {
 		rec.working--
+		p.onChange()
 	}
 }
 
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -18,11 +18,6 @@
 
 // Times of the follower.
 const (
-	// WatchWait is how long a watch may be silent. A connection that went silent
-	// is noticed WatchWait+WatchSlack after it was last used, which leaves half a
-	// second of the 3 s within which a change has to be in force.
-	WatchWait  = 1500 * time.Millisecond
-	WatchSlack = 500 * time.Millisecond
 	// ListTimeout bounds a listing.
 	ListTimeout = 2 * time.Second
 	// CoalescePause is waited after a watch that returned changes, so that
@@ -30,76 +25,164 @@
 	CoalescePause = 150 * time.Millisecond
 	// firstRetry and longestRetry bound the pause after a failed call, which
 	// doubles and is random in its upper half. The longest one leaves time to be
-	// up to date within 3 s of the source's return.
+	// up to date within 3 s of the store's return.
 	firstRetry   = 50 * time.Millisecond
 	longestRetry = 800 * time.Millisecond
 	// expireInterval is how often missing servers are looked at.
 	expireInterval = 250 * time.Millisecond
+	// idleInterval is how often a daemon that does not watch checks whether it
+	// has to.
+	idleInterval = 50 * time.Millisecond
 )
 
+// Duty decides whether this daemon watches the store. The other daemons of its
+// zone get the changes from those that do.
+type Duty interface {
+	// Watches reports whether this daemon has to watch now.
+	Watches(now time.Time) bool
+}
+
 // Follower keeps the newest directory.
 type Follower struct {
 	source  Source
+	decoder Decoder
 	log     *events.Logger
 	metrics *metrics.Registry
 
+	watchTimes WatchTimes
+
 	current atomic.Pointer[directory.Directory]
-	// epoch is what confirmed, the time of the last answer, is counted from, so
-	// that steps of the time of day do not change ages.
+	// watching is set while a watch is pending or about to be repeated.
+	watching atomic.Bool
+	// epoch is what confirmed, the time of the last confirmation, is counted
+	// from, so that steps of the time of day do not change ages.
 	epoch     time.Time
 	confirmed atomic.Int64
 
-	mu       sync.Mutex // guards builder, listeners
+	mu       sync.Mutex // guards state and builder, and orders publications
+	state    *State
 	builder  *directory.Builder
 	onChange []func(*directory.Directory)
 }
 
+// Options are what a Follower is built from.
+type Options struct {
+	Source  Source
+	Decoder Decoder
+	Log     *events.Logger
+	Metrics *metrics.Registry
+	// Watch bounds the silence of a watch.
+	Watch WatchTimes
+}
+
+// WatchTimes bound the silence of a watch.
+type WatchTimes struct {
+	// Wait is how long the store may hold a watch without changes.
+	Wait time.Duration
+	// Slack is added for the answer. A connection that went silent is noticed
+	// after Wait and Slack.
+	Slack time.Duration
+}
+
+// WatchTimesFor returns the times with which a connection that went silent is
+// replaced, and its successor has answered, within recovery.
+func WatchTimesFor(recovery time.Duration) WatchTimes {
+	return WatchTimes{Wait: recovery * 5 / 8, Slack: recovery / 8}
+}
+
+// MaxAge is the age of a directory that no working watch exceeds.
+func (w WatchTimes) MaxAge() time.Duration { return w.Wait + w.Slack + w.Slack/2 }
+
 // NewFollower returns a follower that has read nothing yet.
-func NewFollower(source Source, log *events.Logger, m *metrics.Registry) *Follower {
-	return &Follower{epoch: time.Now(), source: source, log: log, metrics: m, builder: directory.NewBuilder()}
+func NewFollower(o Options) *Follower {
+	return &Follower{
+		epoch: time.Now(), watchTimes: o.Watch, source: o.Source, decoder: o.Decoder, log: o.Log, metrics: o.Metrics,
+		state: NewState(), builder: directory.NewBuilder(),
+	}
 }
 
 // Current returns the newest directory, or nil before the first configuration.
 func (f *Follower) Current() *directory.Directory { return f.current.Load() }
 
-// Age returns how long ago the source last confirmed the directory.
+// Watching reports whether this daemon watches the store.
+func (f *Follower) Watching() bool { return f.watching.Load() }
+
+// Age returns how long ago the store last confirmed the directory, directly or
+// through peers.
 func (f *Follower) Age(now time.Time) time.Duration {
 	at := f.confirmed.Load()
 	if at == 0 {
 		return time.Duration(1<<63 - 1)
 	}
-	return now.Sub(f.epoch) - time.Duration(at)
+	return max(0, now.Sub(f.epoch)-time.Duration(at))
+}
+
+// Confirm notes that a revision was the newest one at a time. Revisions other
+// than the present one are ignored if they are lower.
+func (f *Follower) Confirm(revision uint64, at time.Time) {
+	if f.Revision() < revision {
+		return
+	}
+	next := int64(at.Sub(f.epoch))
+	for {
+		old := f.confirmed.Load()
+		if next <= old || f.confirmed.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// Revision returns the revision up to which all changes are known.
+func (f *Follower) Revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Revision()
+}
+
+// Since returns what a peer with a revision lacks. The reading has revision 0
+// while nothing is known.
+func (f *Follower) Since(have uint64) Reading {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Since(have)
 }
 
 // OnChange registers a function that is called with each new directory, in
 // order. Call it before Run.
 func (f *Follower) OnChange(fn func(*directory.Directory)) { f.onChange = append(f.onChange, fn) }
 
-// Run follows the source until ctx ends.
-func (f *Follower) Run(ctx context.Context) {
+// Run follows the store until ctx ends, as far as it is this daemon's duty.
+func (f *Follower) Run(ctx context.Context, duty Duty) {
 	go f.expire(ctx)
-	listed := false
+	relist := false
 	failures := 0
 	for ctx.Err() == nil {
+		known := f.Revision() > 0 && !relist
+		if known && !duty.Watches(time.Now()) {
+			f.setWatching(false)
+			failures = 0
+			wait.For(ctx, idleInterval)
+			continue
+		}
+		f.setWatching(known)
 		var err error
-		if listed {
+		if known {
 			err = f.watch(ctx)
 		} else {
 			err = f.list(ctx)
-			listed = err == nil
+		}
+		if ctx.Err() != nil {
+			return
 		}
 		if err == nil {
 			f.recovered(failures)
-			failures = 0
+			relist, failures = false, 0
 			continue
 		}
-		if ctx.Err() != nil {
-			return
-		}
 		f.failed(err, failures)
 		failures++
 		if errors.Is(err, ErrHistoryLost) {
-			listed = false
+			relist = true
 			continue
 		}
 		f.source.Close()
@@ -107,6 +190,12 @@
 	}
 }
 
+func (f *Follower) setWatching(on bool) {
+	if f.watching.Swap(on) != on {
+		f.log.Log(events.WatchDuty, zap.Bool("watching", on))
+	}
+}
+
 // retryPause returns the pause after so many failures in a row.
 func retryPause(failures int) time.Duration {
 	p := longestRetry
@@ -120,61 +209,71 @@
 	ctx, cancel := context.WithTimeout(ctx, ListTimeout)
 	defer cancel()
 	f.metrics.Count(metrics.StoreCalls, 1)
+	asked := time.Now()
 	reading, err := f.source.List(ctx)
 	if err != nil {
 		return err
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	refused := f.builder.Reset(reading.Items, reading.Revision, time.Now())
-	f.publish(refused)
+	f.Offer(reading, "store")
+	f.Confirm(reading.Revision, asked)
 	return nil
 }
 
 func (f *Follower) watch(ctx context.Context) error {
-	after := f.revision()
-	watchCtx, cancel := context.WithTimeout(ctx, WatchWait+WatchSlack)
+	after := f.Revision()
+	watchCtx, cancel := context.WithTimeout(ctx, f.watchTimes.Wait+f.watchTimes.Slack)
 	defer cancel()
 	f.metrics.Count(metrics.StoreCalls, 1)
-	reading, err := f.source.Watch(watchCtx, after, WatchWait)
+	reading, err := f.source.Watch(watchCtx, after, f.watchTimes.Wait)
 	if err != nil {
 		return err
 	}
-	f.confirmed.Store(int64(time.Since(f.epoch)))
-	if len(reading.Items) == 0 && reading.Revision <= after {
-		return nil
+	f.Offer(reading, "store")
+	f.Confirm(reading.Revision, time.Now())
+	if len(reading.Items) > 0 {
+		wait.For(ctx, CoalescePause)
 	}
-	f.mu.Lock()
-	refused := f.builder.Apply(reading.Items, reading.Revision, time.Now())
-	f.publish(refused)
-	f.mu.Unlock()
-	wait.For(ctx, CoalescePause)
 	return nil
 }
 
-func (f *Follower) revision() uint64 {
+// Offer takes over what is new in a reading; from names its origin in the log.
+func (f *Follower) Offer(r Reading, from string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.builder.Revision()
+	now := time.Now()
+	before := f.state.Revision()
+	items := f.state.Merge(r, now)
+	changes := make([]directory.Change, 0, len(items))
+	for _, i := range items {
+		if c, ok := f.decode(i); ok {
+			changes = append(changes, c)
+		}
+	}
+	refused := f.builder.Apply(changes, f.state.Revision(), now)
+	for _, x := range refused {
+		f.log.Log(events.ItemRefused, zap.Uint64("revision", x.Revision), zap.String("subject", x.Subject), zap.String("reason", x.Reason))
+	}
+	if len(changes) > 0 || f.state.Revision() > before {
+		f.publish(from)
+	}
 }
 
-// publish makes the builder's state the current directory. f.mu is held.
-func (f *Follower) publish(refused []directory.Refusal) {
-	f.confirmed.Store(int64(time.Since(f.epoch)))
-	for _, r := range refused {
-		f.log.Log(events.ItemRefused, zap.Uint64("revision", r.Revision), zap.String("subject", r.Subject), zap.String("reason", r.Reason))
+func (f *Follower) decode(i Item) (directory.Change, bool) {
+	if c, ok := decodeVM(i); ok {
+		return c, true
 	}
-	f.rebuild()
+	return f.decoder.Decode(i)
 }
 
-func (f *Follower) rebuild() {
+// publish makes the builder's state the current directory. f.mu is held.
+func (f *Follower) publish(from string) {
 	if !f.builder.Ready() {
 		return
 	}
 	next := f.builder.Build()
 	old := f.current.Swap(next)
 	if old == nil || old.Config.Version != next.Config.Version || old.Servers() != next.Servers() {
-		f.log.Log(events.DirectoryApplied, zap.Uint64("revision", next.Revision),
+		f.log.Log(events.DirectoryApplied, zap.Uint64("revision", next.Revision), zap.String("from", from),
 			zap.Uint64("config_version", next.Config.Version), zap.Int("routes", len(next.Config.Routes)),
 			zap.Int("servers", next.Servers()))
 	}
@@ -188,7 +287,7 @@
 	for wait.For(ctx, expireInterval) {
 		f.mu.Lock()
 		if f.builder.Expire(time.Now()) {
-			f.rebuild()
+			f.publish("expiry")
 		}
 		f.mu.Unlock()
 	}
@@ -197,7 +296,7 @@
 func (f *Follower) failed(err error, failures int) {
 	f.metrics.Retried(reasonOf(err))
 	if failures == 0 {
-		f.log.Log(events.StoreDown, zap.Error(err), zap.Duration("age", f.Age(time.Now())))
+		f.log.Log(events.StoreDown, events.Cause(err), zap.Duration("age", f.Age(time.Now())))
 	}
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,5 +1,6 @@
-// Package registry keeps a daemon's directory up to date from a source that
-// lists items and reports their changes.
+// Package registry keeps a daemon's directory up to date. Items come from the
+// platform's store, which some daemons of each zone watch, and from the peers
+// that have read them there.
 package registry
 
 import (
@@ -20,23 +21,49 @@
 	ErrThrottled = errors.New("call rate exceeded")
 	// ErrUnavailable means that the source gave no usable answer.
 	ErrUnavailable = errors.New("source unavailable")
+	// ErrLeaseEnded means that the lease does not exist any more.
+	ErrLeaseEnded = errors.New("lease has ended")
 )
 
-// Reading is what a call has returned.
+// Item is one item of the store as it was read there.
+type Item struct {
+	Key               string
+	Value             []byte
+	Revision, Created uint64
+	Deleted           bool
+	// Read is when a daemon read the item from the store.
+	Read time.Time
+}
+
+// Reading is what a call has returned: everything up to Revision.
 type Reading struct {
-	// Revision is the one from which to watch next.
 	Revision uint64
-	Items    []directory.Change
+	// Complete readings hold every item; others the changes since the revision
+	// that was asked for.
+	Complete bool
+	Items    []Item
 }
 
-// Source is where routes and servers are registered.
+// Source is the store. Errors wrap ErrHistoryLost, ErrThrottled,
+// ErrLeaseEnded or ErrUnavailable.
 type Source interface {
 	// List returns all items.
 	List(ctx context.Context) (Reading, error)
 	// Watch returns the changes after a revision, as soon as there are any or
-	// when the wait has passed. Errors wrap ErrHistoryLost, ErrThrottled or
-	// ErrUnavailable.
+	// when the wait has passed.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Reading, error)
-	// Close closes idle connections.
+	// Lease creates a lease.
+	Lease(ctx context.Context, ttl time.Duration) (lease uint64, err error)
+	// Keep renews a lease.
+	Keep(ctx context.Context, lease uint64) error
+	// Put writes an item that vanishes with the lease.
+	Put(ctx context.Context, key string, value []byte, lease uint64) error
+	// Close closes idle connections, so that the next call opens a new one.
 	Close()
 }
+
+// Decoder turns the items of the platform into changes of the directory. It
+// reports false for items that do not concern the directory.
+type Decoder interface {
+	Decode(i Item) (directory.Change, bool)
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"path/filepath"
+	"strconv"
 	"time"
 )
 
@@ -31,6 +32,9 @@
 
 	// Grace is the time between the signals that ask and force the daemon to end.
 	Grace time.Duration
+	// Recovery is within which the directory has to be current again after a
+	// failure of the network or the store has ended.
+	Recovery time.Duration
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
@@ -92,22 +96,31 @@
 
 	{Section: "limits", Name: "grace_s", Default: "6",
 		Meaning: "seconds between SIGTERM and SIGKILL",
-		set:     func(s *draft, v string) string { return seconds(&s.entry.Grace, v, maxGrace) }},
+		set:     func(s *draft, v string) string { return duration(&s.entry.Grace, v, time.Second, maxGrace) }},
+
+	{Section: "limits", Name: "recovery_ms", Default: "4000",
+		Meaning: "milliseconds after the end of a failure of the network or the store until the daemon must have the newest directory",
+		set:     func(s *draft, v string) string { return duration(&s.entry.Recovery, v, time.Millisecond, maxRecovery) }},
 
 	{Section: "log", Name: "level", Default: "info",
 		Meaning: "lowest level that is logged: debug, info, warn or error",
 		set:     func(s *draft, v string) string { return level(&s.entry.LogLevel, v) }},
 }
 
-// maxGrace bounds the setting to what service managers allow.
-const maxGrace = time.Hour
+// Bounds of settings: what service managers allow, and the longest silence of
+// a watch that the store allows.
+const (
+	maxGrace    = time.Hour
+	maxRecovery = 40 * time.Second
+)
 
-// seconds accepts a positive number of seconds, which may have a fraction.
-func seconds(to *time.Duration, v string, most time.Duration) string {
-	d, err := time.ParseDuration(v + "s")
-	if err != nil || d <= 0 || d > most {
-		return fmt.Sprintf("a number of seconds above 0 and up to %.0f", most.Seconds())
+// duration accepts a positive number of units, which may have a fraction.
+func duration(to *time.Duration, v string, unit, most time.Duration) string {
+	n, err := strconv.ParseFloat(v, 64)
+	highest := float64(most) / float64(unit)
+	if err != nil || !(n > 0 && n <= highest) {
+		return fmt.Sprintf("a number above 0 and up to %.0f", highest)
 	}
-	*to = d
+	*to = time.Duration(n * float64(unit))
 	return ""
 }
