Leave when the routers have stopped sending, keep packets until the directory is read

A starting daemon dropped the packets of the first 30 ms.

Change: leave after 1 s, or when no packet has come for 250 ms; do not read the socket before there is a directory.

Ruled out: slow starts (22 ms until the sockets are open).

--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -36,6 +36,15 @@
 
 	mu    sync.Mutex
 	flows map[flowKey]*flow
+	// last is when the last packet arrived.
+	last time.Time
+}
+
+// Quiet returns how long ago the last packet arrived.
+func (e *Engine) Quiet(now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Sub(e.last)
 }
 
 // NewEngine returns an engine that knows no flows.
@@ -69,6 +78,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.last = now
 	var server *directory.Server
 	if packet.Opens {
 		server, err = e.open(d, packet, now)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -27,12 +27,20 @@
 
 // Times of the daemon.
 const (
-	// drainShare is the part of the grace period for which a daemon that was
-	// asked to end goes on forwarding. The fabric asks twice a second and stops
-	// sending after two misses.
-	drainShare = 0.4
+	// drainLeast is how long a daemon that was asked to end goes on forwarding:
+	// the fabric asks twice a second and stops sending after two misses.
+	drainLeast = time.Second
+	// drainQuiet without a packet shows that the fabric has stopped sending. It
+	// goes on when too few daemons of the zone are ready.
+	drainQuiet = 250 * time.Millisecond
+	// drainShare is the longest drain as a part of the grace period.
+	drainShare = 0.7
+	// drainPoll is how often a draining daemon looks for packets.
+	drainPoll = 50 * time.Millisecond
 	// expireInterval is how often finished flows are forgotten.
 	expireInterval = 100 * time.Millisecond
+	// directoryPoll is how often a starting daemon looks for its directory.
+	directoryPoll = time.Millisecond
 	// readyTimeout bounds a readiness request.
 	readyTimeout = 2 * time.Second
 )
@@ -133,7 +141,7 @@
 	d.leaving.Store(true)
 	d.exchange.Leave()
 	d.options.Log.Log(events.DaemonLeaving)
-	wait.For(serving, time.Duration(drainShare*float64(s.Grace)))
+	d.drain(serving)
 	stop()
 	_ = server.Close() // the process ends anyway
 	_ = d.data.Close() // ends the forwarding
@@ -142,6 +150,16 @@
 	return nil
 }
 
+// drain forwards until the fabric has stopped sending.
+func (d *Daemon) drain(ctx context.Context) {
+	began := time.Now()
+	longest := time.Duration(drainShare * float64(d.options.Settings.Grace))
+	wait.For(ctx, min(drainLeast, longest))
+	for time.Since(began) < longest && d.engine.Quiet(time.Now()) < drainQuiet {
+		wait.For(ctx, drainPoll)
+	}
+}
+
 func (d *Daemon) registration() *registry.Registration {
 	s := d.options.Settings
 	return &registry.Registration{
@@ -162,8 +180,15 @@
 	return mux
 }
 
-// forward handles packets until the socket is closed.
+// forward handles packets until the socket is closed. Until there is a
+// directory they wait in the socket, since a dropped opening packet costs its
+// caller 200 ms.
 func (d *Daemon) forward(ctx context.Context) {
+	for d.follower.Current() == nil {
+		if !wait.For(ctx, directoryPoll) {
+			return
+		}
+	}
 	headroom := d.options.Codec.Headroom()
 	buffer := make([]byte, headroom+d.options.Codec.MaxPacket()+1)
 	port := d.options.Settings.Data.Port()
