Log each decision about flows and beliefs, serve counters and latencies, reread settings

Lines go through a writer that never blocks and counts what it drops; events that flows cause are bounded to 200 lines a second. The follower's revision is read without its lock: a listener that asks for it while another goroutine reports a peer could have locked up both.

--- a/cmd/knapweedshored/entry.go
+++ b/cmd/knapweedshored/entry.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net"
+	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"knapweedshore.example/internal/entry"
 	"knapweedshore.example/internal/events"
@@ -20,38 +24,58 @@
 		Name:  "entry",
 		Usage: "run the daemon behind a carrier with cookies",
 		Description: `Runs until it gets SIGTERM or SIGINT. It is then not ready any more and goes on
-forwarding for part of the grace period. The log goes to standard output, one
-JSON object a line. docs/platform.md describes the platform.
+forwarding until no packets arrive, for part of the grace period at most. SIGHUP
+reads the settings again, as does a change of the file. The log goes to standard
+output, one JSON object a line. docs/platform.md describes the platform.
 
 Example:
   knapweedshored entry --config /etc/knapweedshore/entry.ini`,
-		Flags: []cli.Flag{&cli.StringFlag{
-			Name: "config", Aliases: []string{"c"}, Required: true, TakesFile: true,
-			Usage: "settings `FILE` in INI form", Sources: cli.EnvVars(platform.SettingsEnv),
-		}},
+		Flags:  []cli.Flag{entryConfigFlag()},
 		Action: withoutArguments(runEntry),
 	}
 }
 
+func entryConfigFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "config", Aliases: []string{"c"}, Required: true, TakesFile: true,
+		Usage: "settings `FILE` in INI form", Sources: cli.EnvVars(platform.SettingsEnv),
+	}
+}
+
 func runEntry(ctx context.Context, cmd *cli.Command) error {
-	s, err := settings.LoadEntry(cmd.String("config"))
+	path := cmd.String("config")
+	s, err := settings.LoadEntry(path)
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(s.LogLevel, cmd.Root().Writer)
+	level, err := zap.ParseAtomicLevel(s.LogLevel)
 	if err != nil {
-		return err
+		return errors.Wrap(err, "log level")
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	output := events.NewWriter(cmd.Root().Writer)
+	defer output.Close()
+	log := events.New(newLoggerAt(level, zapcore.AddSync(output))).With(zap.String("vm", s.Name))
+	registry := metrics.NewRegistry()
 	store := platform.NewStore(s.Store)
 	defer store.Close()
 	d, err := entry.New(entry.Options{
-		Settings: s, Source: store, Decoder: platform.Decoder{}, Codec: platform.Codec{}, ReadyPattern: platform.ReadyPattern,
-		Metrics: metrics.NewRegistry(), Log: events.New(logger).With(zap.String("vm", s.Name)),
+		Settings: s, Source: store, Decoder: platform.Decoder{}, Codec: platform.Codec{},
+		ReadyPattern: platform.ReadyPattern, Metrics: registry, Log: log,
 	})
 	if err != nil {
 		return err
 	}
-	return d.Run(ctx)
+	listener, err := net.Listen("tcp", s.Metrics.String())
+	if err != nil {
+		_ = d.Close() // the first error is the one to report
+		return errors.Wrapf(err, "listen for metrics on %s", s.Metrics)
+	}
+	defer serveMetrics(listener, registry, d.Status, log)()
+
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	return d.Run(ctx, entry.Reload{Path: path, Signal: hangup, SetLevel: level.UnmarshalText})
 }
--- a/cmd/knapweedshored/logger.go
+++ b/cmd/knapweedshored/logger.go
@@ -15,9 +15,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "log level")
 	}
+	return newLoggerAt(l, zapcore.Lock(zapcore.AddSync(w))), nil
+}
+
+// newLoggerAt returns a logger whose level may change.
+func newLoggerAt(level zapcore.LevelEnabler, w zapcore.WriteSyncer) *zap.Logger {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	config.EncodeDuration = zapcore.StringDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(w)), l)
-	return zap.New(core), nil
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), w, level))
 }
--- a/cmd/knapweedshored/metrics.go
+++ b/cmd/knapweedshored/metrics.go
@@ -10,11 +10,8 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/encoding/protojson"
-
 	"knapweedshore.example/internal/events"
 	"knapweedshore.example/internal/metrics"
-	"knapweedshore.example/peerapi"
 )
 
 const (
@@ -24,7 +21,7 @@
 )
 
 // serveMetrics serves the counters and the status until stop is called.
-func serveMetrics(l net.Listener, r *metrics.Registry, status func() *peerapi.StatusResponse, log *events.Logger) (stop func()) {
+func serveMetrics(l net.Listener, r *metrics.Registry, status func() ([]byte, error), log *events.Logger) (stop func()) {
 	server := &http.Server{
 		Handler:     metricsHandler(r, status),
 		ReadTimeout: metricsTimeout, WriteTimeout: metricsTimeout, IdleTimeout: time.Minute,
@@ -47,12 +44,13 @@
 	}
 }
 
-// metricsHandler writes the variables of one daemon in the form of expvar. It
+// metricsHandler writes the variables of one daemon in the form of expvar; status
+// returns a JSON object. It
 // leaves out the process-wide command line, which names files.
-func metricsHandler(r *metrics.Registry, status func() *peerapi.StatusResponse) http.Handler {
+func metricsHandler(r *metrics.Registry, status func() ([]byte, error)) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
-		state, err := protojson.Marshal(status())
+		state, err := status()
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
--- a/cmd/knapweedshored/run.go
+++ b/cmd/knapweedshored/run.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/encoding/protojson"
 
 	"knapweedshore.example/internal/balancer"
 	"knapweedshore.example/internal/events"
@@ -63,7 +64,7 @@
 		return err
 	}
 	log := events.New(logger).With(zap.String("vm", s.Name))
-	stopMetrics := serveMetrics(listener, registry, b.Status, log)
+	stopMetrics := serveMetrics(listener, registry, func() ([]byte, error) { return protojson.Marshal(b.Status()) }, log)
 	defer stopMetrics()
 	return serve(ctx, b, signals, log)
 }
--- a/internal/cookie/cookie.go
+++ b/internal/cookie/cookie.go
@@ -15,6 +15,8 @@
 	Cookie          directory.Cookie
 	// Opens marks the first packet of a flow and its copies.
 	Opens bool
+	// Copy counts the copies of the first packet that were sent before it.
+	Copy int
 	// Ends and Aborts mark the caller's last data and its reset.
 	Ends, Aborts bool
 	// Ack is the caller's acknowledgement number.
--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -117,9 +117,7 @@
 	route := d.Route(p.Service)
 	if route == nil {
 		age := e.tables.Age(now)
-		e.log.Log(events.FlowRefused, zap.Stringer("caller", p.Caller), zap.Stringer("service", p.Service),
-			zap.String("reason", string(metrics.NoRoute)), zap.Uint64("config_version", d.Config.Version),
-			zap.Duration("age", age))
+		e.logRefusal(d, p, metrics.NoRoute, now)
 		return nil, refusal{metrics.NoRoute, age <= freshEnough}
 	}
 	key := flowKey{p.Caller, p.Service}
@@ -131,26 +129,25 @@
 	}
 	avoid := directory.Cookie(0)
 	if f != nil && f.ticket != nil {
-		f.copies++
 		avoid = f.server.Cookie
 		e.placer.Abandon(f.ticket)
 	}
 	pool := route.Pool(uint64(p.Caller.Port()))
-	server, ticket := e.placer.Choose(placement.Request{
-		Route: route, Candidates: d.Candidates(pool), Avoid: avoid, Now: now,
-	})
+	candidates := d.Candidates(pool)
+	server, ticket := e.placer.Choose(placement.Request{Route: route, Candidates: candidates, Avoid: avoid, Now: now})
 	if server == nil {
-		e.log.Log(events.FlowRefused, zap.Stringer("caller", p.Caller), zap.Stringer("service", p.Service),
-			zap.String("reason", string(metrics.NoUsableServer)), zap.String("pool", pool),
-			zap.Uint64("revision", d.Revision), zap.Duration("age", e.tables.Age(now)))
+		e.logRefusal(d, p, metrics.NoUsableServer, now)
 		return nil, refusal{metrics.NoUsableServer, true}
 	}
-	e.log.Log(events.FlowPlaced, zap.Stringer("caller", p.Caller), zap.Stringer("service", p.Service),
-		zap.String("server", server.Name), zap.Uint64("revision", d.Revision), zap.Uint32("copy", p.Ack))
 	e.metrics.Count(metrics.FlowsOpened, 1)
-	if f == nil && len(e.flows) < maxFlows {
-		f = &flow{}
-		e.flows[key] = f
+	if avoid != 0 && avoid != server.Cookie {
+		e.metrics.Count(metrics.FlowsMoved, 1)
+	}
+	e.log.Log(events.FlowPlaced, zap.Stringer("caller", p.Caller), zap.Stringer("service", p.Service),
+		zap.String("server", server.Name), zap.Int("candidates", len(candidates)), zap.Duration("expected", ticket.Expected()),
+		zap.Int("copy", p.Copy), zap.Uint64("revision", d.Revision), zap.Duration("age", e.tables.Age(now)))
+	if f == nil {
+		f = e.remember(key, now)
 	}
 	if f == nil {
 		e.placer.Abandon(ticket)
@@ -160,6 +157,23 @@
 	return server, nil
 }
 
+// remember adds the record of a flow, or returns nil if there are too many.
+func (e *Engine) remember(key flowKey, now time.Time) *flow {
+	if len(e.flows) >= maxFlows {
+		e.metrics.Refused(metrics.FlowTableFull)
+		return nil
+	}
+	f := &flow{openedAt: now}
+	e.flows[key] = f
+	return f
+}
+
+func (e *Engine) logRefusal(d *directory.Directory, p Packet, reason metrics.Reason, now time.Time) {
+	e.log.Log(events.FlowRefused, zap.Stringer("caller", p.Caller), zap.Stringer("service", p.Service),
+		zap.String("reason", string(reason)), zap.Uint64("config_version", d.Config.Version),
+		zap.Uint64("revision", d.Revision), zap.Duration("age", e.tables.Age(now)))
+}
+
 // follow finds the server of a flow's later packet.
 func (e *Engine) follow(d *directory.Directory, p Packet, now time.Time) (*directory.Server, error) {
 	key := flowKey{p.Caller, p.Service}
@@ -205,7 +219,8 @@
 		f.ticket = nil
 		return
 	}
-	e.placer.Heard(f.ticket, now)
+	e.metrics.Observe(metrics.FlowAccepted, now.Sub(f.openedAt))
+	e.placer.Heard(f.ticket)
 }
 
 // observe follows the request and the response in the caller's packets.
@@ -216,9 +231,10 @@
 		e.placer.Abandon(f.ticket)
 		f.ticket = nil
 	case p.Payload > 0 && !f.asked:
-		f.asked, f.askedAck = true, p.Ack
+		f.asked, f.askedAck, f.askedAt = true, p.Ack, now
 		e.placer.Asked(f.ticket, now)
 	case f.asked && (p.Ack != f.askedAck || p.Ends):
+		e.metrics.Observe(metrics.RequestAnswered, now.Sub(f.askedAt))
 		e.placer.Done(f.ticket, now)
 		f.ticket = nil
 	}
@@ -234,7 +250,10 @@
 		}
 		if f.ticket != nil {
 			e.placer.Abandon(f.ticket)
-			e.metrics.Count(metrics.FlowsExpired, 1)
+			e.metrics.Count(metrics.FlowsUnanswered, 1)
+			e.log.Log(events.FlowUnanswered, zap.Stringer("caller", key.caller), zap.Stringer("service", key.service),
+				zap.String("server", f.server.Name), zap.Bool("accepted", f.established), zap.Bool("asked", f.asked),
+				zap.Duration("silent_for", now.Sub(f.lastSeen)))
 		}
 		delete(e.flows, key)
 	}
--- a/internal/cookie/flows.go
+++ b/internal/cookie/flows.go
@@ -22,11 +22,9 @@
 	// it is the one that holds the flow.
 	established bool
 	// askedAck is the caller's acknowledgement number in its request.
-	askedAck uint32
-	asked    bool
-	// copies counts repeated opening packets.
-	copies   int
-	lastSeen time.Time
+	askedAck                    uint32
+	asked                       bool
+	openedAt, askedAt, lastSeen time.Time
 }
 
 // Limits of the flow records.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -89,6 +89,7 @@
 	d.follower.OnChange(d.placer.Keep)
 	d.follower.OnChange(d.exchange.Apply)
 	d.placer.OnChange(d.exchange.Changed)
+	d.placer.OnBelief(d.logBelief)
 	d.placer.SetUnreachable(d.table.Silent)
 	return d, nil
 }
@@ -120,7 +121,7 @@
 
 // Run serves until ctx ends and then forwards for part of the grace period. It
 // returns when all sockets are closed.
-func (d *Daemon) Run(ctx context.Context) error {
+func (d *Daemon) Run(ctx context.Context, reload Reload) error {
 	s := d.options.Settings
 	d.options.Log.Log(events.DaemonStarted, zap.Stringer("data", s.Data), zap.String("zone", s.Zone), zap.Stringer("store", s.Store))
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -131,6 +132,7 @@
 	tasks.Go(func() { d.registration().Run(serving) })
 	tasks.Go(func() { d.forward(serving) })
 	tasks.Go(func() { d.upkeep(serving) })
+	tasks.Go(func() { d.reload(serving, reload) })
 	server := &http.Server{Handler: d.readiness(), ReadTimeout: readyTimeout, WriteTimeout: readyTimeout}
 	tasks.Go(func() {
 		if err := server.Serve(d.ready); !errors.Is(err, http.ErrServerClosed) {
@@ -150,6 +152,11 @@
 	return nil
 }
 
+// Close closes the sockets of a daemon that is not run.
+func (d *Daemon) Close() error {
+	return errors.Join(d.data.Close(), d.ready.Close(), d.exchange.Close())
+}
+
 // drain forwards until the fabric has stopped sending.
 func (d *Daemon) drain(ctx context.Context) {
 	began := time.Now()
@@ -189,6 +196,7 @@
 			return
 		}
 	}
+	d.options.Log.Log(events.Ready, zap.Uint64("revision", d.follower.Revision()))
 	headroom := d.options.Codec.Headroom()
 	buffer := make([]byte, headroom+d.options.Codec.MaxPacket()+1)
 	port := d.options.Settings.Data.Port()
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Status is the state of a daemon as its metrics address shows it.
+type Status struct {
+	VM            string `json:"vm"`
+	Zone          string `json:"zone"`
+	Ready         bool   `json:"ready"`
+	Leaving       bool   `json:"leaving"`
+	Watching      bool   `json:"watching"`
+	Revision      uint64 `json:"revision"`
+	ConfigVersion uint64 `json:"config_version"`
+	// DirectoryAgeMS is the time since the directory was confirmed to be the
+	// newest.
+	DirectoryAgeMS int64 `json:"directory_age_ms"`
+	Servers        int   `json:"servers"`
+	Flows          int   `json:"flows"`
+	PeersKnown     int   `json:"peers_known"`
+	PeersLive      int   `json:"peers_live"`
+}
+
+// Status returns the state as JSON.
+func (d *Daemon) Status() ([]byte, error) {
+	now := time.Now()
+	s := Status{
+		VM: d.options.Settings.Name, Zone: d.options.Settings.Zone, Leaving: d.leaving.Load(),
+		Watching: d.follower.Watching(), Revision: d.follower.Revision(), Flows: d.engine.Flows(),
+	}
+	if dir := d.follower.Current(); dir != nil {
+		s.Ready = !s.Leaving
+		s.ConfigVersion, s.Servers = dir.Config.Version, dir.Servers()
+		s.DirectoryAgeMS = d.follower.Age(now).Milliseconds()
+	}
+	s.PeersKnown, s.PeersLive = d.table.Peers(now)
+	return json.Marshal(s)
+}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -7,69 +7,83 @@
 	warn = zapcore.WarnLevel
 	fail = zapcore.ErrorLevel
 
-	debug = zapcore.DebugLevel
+	// flowLines and beliefLines bound the lines a second of events that flows
+	// cause. One line takes about 10 µs and 300 bytes.
+	flowLines   = 200
+	beliefLines = 20
 )
 
 // Events of the daemon's life, 100 to 199.
 var (
-	DaemonStarted = Event{100, info, "daemon started", "none"}
-	DaemonLeaving = Event{101, info, "daemon leaving", "none"}
-	DaemonStopped = Event{102, info, "daemon stopped", "none"}
-	DaemonPaused  = Event{103, warn, "daemon was paused and lost its standing", "look for CPU starvation or a paused VM"}
-	StandingBack  = Event{104, info, "standing confirmed by a peer", "none"}
-	DaemonFailed  = Event{105, fail, "daemon part failed", "read the error; restart the daemon"}
+	DaemonStarted = Event{Number: 100, Level: info, Message: "daemon started", Action: "none"}
+	DaemonLeaving = Event{Number: 101, Level: info, Message: "daemon leaving", Action: "none"}
+	DaemonStopped = Event{Number: 102, Level: info, Message: "daemon stopped", Action: "none"}
+	DaemonPaused  = Event{Number: 103, Level: warn, Message: "daemon was paused and lost its standing", Action: "look for CPU starvation or a paused VM"}
+	StandingBack  = Event{Number: 104, Level: info, Message: "standing confirmed by a peer", Action: "none"}
+	DaemonFailed  = Event{Number: 105, Level: fail, Message: "daemon part failed", Action: "read the error; restart the daemon"}
+	LinesDropped  = Event{Number: 106, Level: warn, Message: "log lines dropped", Action: "check what reads the log"}
+	Reloaded      = Event{Number: 107, Level: info, Message: "settings read again", Action: "restart the daemon for the settings in field restart"}
+	ReloadRefused = Event{Number: 108, Level: warn, Message: "changed settings refused", Action: "mend the settings file"}
+	Ready         = Event{Number: 109, Level: info, Message: "daemon ready", Action: "none"}
 )
 
 // Events of membership and links, 200 to 299.
 var (
-	MemberJoined    = Event{200, info, "member joined", "none"}
-	MemberLeaving   = Event{201, info, "member leaving", "none"}
-	MemberSuspected = Event{202, warn, "member suspected", "none, unless it repeats for one VM"}
-	MemberDied      = Event{203, warn, "member declared dead", "replace the VM"}
-	MemberRefuted   = Event{204, info, "own suspicion refuted", "look for CPU starvation if it repeats"}
-	LinkOpened      = Event{210, info, "link opened", "none"}
-	LinkLost        = Event{211, warn, "link lost", "check the network between the zones if it repeats"}
-	PeerRefused     = Event{212, warn, "peer refused", "check the keys and the region of that VM"}
+	MemberJoined    = Event{Number: 200, Level: info, Message: "member joined", Action: "none"}
+	MemberLeaving   = Event{Number: 201, Level: info, Message: "member leaving", Action: "none"}
+	MemberSuspected = Event{Number: 202, Level: warn, Message: "member suspected", Action: "none, unless it repeats for one VM"}
+	MemberDied      = Event{Number: 203, Level: warn, Message: "member declared dead", Action: "replace the VM"}
+	MemberRefuted   = Event{Number: 204, Level: info, Message: "own suspicion refuted", Action: "look for CPU starvation if it repeats"}
+	LinkOpened      = Event{Number: 210, Level: info, Message: "link opened", Action: "none"}
+	LinkLost        = Event{Number: 211, Level: warn, Message: "link lost", Action: "check the network between the zones if it repeats"}
+	PeerRefused     = Event{Number: 212, Level: warn, Message: "peer refused", Action: "check the keys and the region of that VM"}
 )
 
 // Events of the tables and the store, 300 to 399.
 var (
-	TablesApplied   = Event{300, info, "tables applied", "none"}
-	TablesRegressed = Event{301, fail, "store returned an older table version", "the store was restored from a backup; run knapweedshorectl recover --above N"}
-	TablesInvalid   = Event{302, fail, "tables refused", "another tool has written to the tables' keys"}
-	TablesOld       = Event{303, warn, "tables not confirmed to be newest", "check the store and the zone's network"}
-	FetchFailed     = Event{304, warn, "tables not fetched from a peer", "none, unless it repeats for one peer"}
-	StoreDown       = Event{310, warn, "store call failed", "check the platform store"}
-	StoreBack       = Event{311, info, "store answers again", "none"}
+	TablesApplied   = Event{Number: 300, Level: info, Message: "tables applied", Action: "none"}
+	TablesRegressed = Event{Number: 301, Level: fail, Message: "store returned an older table version", Action: "the store was restored from a backup; run knapweedshorectl recover --above N"}
+	TablesInvalid   = Event{Number: 302, Level: fail, Message: "tables refused", Action: "another tool has written to the tables' keys"}
+	TablesOld       = Event{Number: 303, Level: warn, Message: "tables not confirmed to be newest", Action: "check the store and the zone's network"}
+	FetchFailed     = Event{Number: 304, Level: warn, Message: "tables not fetched from a peer", Action: "none, unless it repeats for one peer"}
+	StoreDown       = Event{Number: 310, Level: warn, Message: "store call failed", Action: "check the platform store"}
+	StoreBack       = Event{Number: 311, Level: info, Message: "store answers again", Action: "none"}
 
-	DirectoryApplied = Event{320, info, "directory applied", "none"}
-	ItemRefused      = Event{321, warn, "store item refused", "find the writer of the item"}
-	WatchDuty        = Event{322, info, "duty to watch the store has changed", "none"}
+	DirectoryApplied = Event{Number: 320, Level: info, Message: "directory applied", Action: "none"}
+	ItemRefused      = Event{Number: 321, Level: warn, Message: "store item refused", Action: "find the writer of the item"}
+	WatchDuty        = Event{Number: 322, Level: info, Message: "duty to watch the store has changed", Action: "none"}
 
-	RegistrationFailed = Event{323, warn, "registration in the store failed", "check the platform store"}
+	RegistrationFailed = Event{Number: 323, Level: warn, Message: "registration in the store failed", Action: "check the platform store"}
 )
 
 // Events of flows and servers, 400 to 499.
 var (
-	ServerEjected    = Event{400, warn, "backend server ejected", "check the server"}
-	ServerReinstated = Event{401, info, "backend server reinstated", "none"}
-	EjectionFloor    = Event{402, warn, "ejection refused: half of the pool is ejected", "check the pool or the network to it"}
-	SilentFlow       = Event{403, warn, "flow is silent: caller sends and no answer comes", "check the server"}
-	FlowTableFull    = Event{410, fail, "flow table is full", "add VMs or raise max_flows"}
-	NewFlowLimited   = Event{411, warn, "new-flow rate limit reached", "add VMs or raise new_flows_per_second"}
-	BackupChanged    = Event{420, info, "backup for exceptions changed", "none"}
-	FlowPlaced       = Event{430, debug, "flow placed", "none"}
-	FlowRefused      = Event{431, info, "flow refused", "look at the reason"}
+	ServerEjected    = Event{Number: 400, Level: warn, Message: "backend server ejected", Action: "check the server"}
+	ServerReinstated = Event{Number: 401, Level: info, Message: "backend server reinstated", Action: "none"}
+	EjectionFloor    = Event{Number: 402, Level: warn, Message: "ejection refused: half of the pool is ejected", Action: "check the pool or the network to it"}
+	SilentFlow       = Event{Number: 403, Level: warn, Message: "flow is silent: caller sends and no answer comes", Action: "check the server"}
+	FlowTableFull    = Event{Number: 410, Level: fail, Message: "flow table is full", Action: "add VMs or raise max_flows"}
+	NewFlowLimited   = Event{Number: 411, Level: warn, Message: "new-flow rate limit reached", Action: "add VMs or raise new_flows_per_second"}
+	BackupChanged    = Event{Number: 420, Level: info, Message: "backup for exceptions changed", Action: "none"}
+
+	FlowPlaced      = Event{Number: 430, Level: info, Message: "flow placed", Action: "none", PerSecond: flowLines}
+	FlowRefused     = Event{Number: 431, Level: info, Message: "flow refused", Action: "look at the reason", PerSecond: flowLines}
+	FlowUnanswered  = Event{Number: 432, Level: info, Message: "flow ended without an answer", Action: "look for the server in the events 433", PerSecond: flowLines}
+	ServerSuspected = Event{Number: 433, Level: warn, Message: "server does not accept flows", Action: "check the server if it repeats", PerSecond: beliefLines}
+	ServerAnswers   = Event{Number: 434, Level: info, Message: "server accepts flows again", Action: "none", PerSecond: beliefLines}
+	ZoneUnreachable = Event{Number: 435, Level: warn, Message: "zone is not reachable", Action: "check the network between the zones"}
+	ZoneReachable   = Event{Number: 436, Level: info, Message: "zone is reachable again", Action: "none"}
 )
 
 // All returns every event in the order of its number.
 func All() []Event {
 	return []Event{
 		DaemonStarted, DaemonLeaving, DaemonStopped, DaemonPaused, StandingBack, DaemonFailed,
+		LinesDropped, Reloaded, ReloadRefused, Ready,
 		MemberJoined, MemberLeaving, MemberSuspected, MemberDied, MemberRefuted, LinkOpened, LinkLost, PeerRefused,
 		TablesApplied, TablesRegressed, TablesInvalid, TablesOld, FetchFailed, StoreDown, StoreBack,
 		DirectoryApplied, ItemRefused, WatchDuty, RegistrationFailed,
 		ServerEjected, ServerReinstated, EjectionFloor, SilentFlow, FlowTableFull, NewFlowLimited, BackupChanged,
-		FlowPlaced, FlowRefused,
+		FlowPlaced, FlowRefused, FlowUnanswered, ServerSuspected, ServerAnswers, ZoneUnreachable, ZoneReachable,
 	}
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -16,22 +16,44 @@
 	Message string
 	// Action tells an operator what to do, or "none".
 	Action string
+	// PerSecond bounds the lines of an event that each request may cause; zero
+	// does not. The next line that is written says how many were left out.
+	PerSecond int
 }
 
 // Logger writes events.
-type Logger struct{ z *zap.Logger }
+type Logger struct {
+	z      *zap.Logger
+	limits *limits
+}
 
 // New returns a Logger that writes to z.
-func New(z *zap.Logger) *Logger { return &Logger{z: z} }
+func New(z *zap.Logger) *Logger {
+	return &Logger{z: z, limits: &limits{byEvent: map[int]*limit{}}}
+}
 
 // Discard returns a Logger that writes nothing.
 func Discard() *Logger { return New(zap.NewNop()) }
 
 // With returns a Logger that adds fields to every event.
-func (l *Logger) With(fields ...zap.Field) *Logger { return New(l.z.With(fields...)) }
+func (l *Logger) With(fields ...zap.Field) *Logger {
+	return &Logger{z: l.z.With(fields...), limits: l.limits}
+}
 
 // Log writes one event.
 func (l *Logger) Log(e Event, fields ...zap.Field) {
+	if !l.z.Core().Enabled(e.Level) {
+		return
+	}
+	if e.PerSecond > 0 {
+		suppressed, ok := l.limits.take(e)
+		if !ok {
+			return
+		}
+		if suppressed > 0 {
+			fields = append(fields, zap.Int64("suppressed", suppressed))
+		}
+	}
 	if ce := l.z.Check(e.Level, e.Message); ce != nil {
 		ce.Write(append(fields, zap.Int("event", e.Number))...)
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -63,6 +63,9 @@
 	}, nil
 }
 
+// Close closes the sockets of an exchange that is not run.
+func (e *Exchange) Close() error { return errors.Join(e.reports.Close(), e.listener.Close()) }
+
 // Changed asks for a report to the zone soon.
 func (e *Exchange) Changed() { signal(e.changed) }
 
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -96,6 +96,26 @@
 	}
 }
 
+// SetSeeds replaces the addresses from the settings.
+func (t *Table) SetSeeds(seeds []netip.Addr) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seeds = seeds
+}
+
+// Peers returns how many daemons are known, and how many of them have been
+// heard recently.
+func (t *Table) Peers(now time.Time) (known, live int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if !p.seen.IsZero() && now.Sub(p.seen) <= t.silence(p.zone) {
+			live++
+		}
+	}
+	return len(t.peers), live
+}
+
 // Apply takes over the registered daemons.
 func (t *Table) Apply(d *directory.Directory, now time.Time) {
 	t.mu.Lock()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"sort"
 	"sync/atomic"
+	"time"
 )
 
 // Reason names why a packet was refused or a call was tried again.
@@ -17,17 +18,26 @@
 	refusals *Counters
 	retries  *Counters
 	totals   *Counters
+	latency  map[Reason]*Histogram
 }
 
 // NewRegistry returns a Registry that has a counter for every known reason.
 func NewRegistry() *Registry {
-	return &Registry{
+	r := &Registry{
 		refusals: newCounters(refusalReasons),
 		retries:  newCounters(retryReasons),
 		totals:   newCounters(totalNames),
+		latency:  map[Reason]*Histogram{},
 	}
+	for _, name := range latencyNames {
+		r.latency[name] = newHistogram()
+	}
+	return r
 }
 
+// Observe counts one duration in a histogram.
+func (r *Registry) Observe(name Reason, d time.Duration) { r.latency[name].Observe(d) }
+
 // Refused counts one refused packet or request.
 func (r *Registry) Refused(reason Reason) { r.refusals.Add(reason, 1) }
 
@@ -53,9 +63,18 @@
 	m.Set("refusals", expvar.Func(r.refusals.values))
 	m.Set("retries", expvar.Func(r.retries.values))
 	m.Set("totals", expvar.Func(r.totals.values))
+	m.Set("latency", expvar.Func(r.latencies))
 	return m
 }
 
+func (r *Registry) latencies() any {
+	out := make(map[string]any, len(r.latency))
+	for name, h := range r.latency {
+		out[string(name)] = h.value()
+	}
+	return out
+}
+
 // Counters is a fixed set of named counters, safe for concurrent use.
 type Counters struct {
 	byName map[Reason]*atomic.Int64
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -83,6 +83,9 @@
 	ControlBytesReceive Reason = "control_bytes_received"
 	MembersDied         Reason = "members_died"
 	ProbesSent          Reason = "probes_sent"
+	FlowsUnanswered     Reason = "flows_unanswered"
+	ServersSuspected    Reason = "servers_suspected"
+	FlowsMoved          Reason = "flows_moved"
 )
 
 var totalNames = []Reason{
@@ -90,5 +93,16 @@
 	FlowsClosed, FlowsExpired, FlowsDeviated, SilentFlows, Ejections,
 	ExceptionsSent, ExceptionsStored, ExceptionsHandover, TablesApplied,
 	StoreCalls, ControlBytesSent, ControlBytesReceive, MembersDied,
-	ProbesSent,
+	ProbesSent, FlowsUnanswered, ServersSuspected, FlowsMoved,
 }
+
+// Latencies.
+const (
+	// FlowAccepted is the time from a flow's first packet to the next one.
+	FlowAccepted Reason = "flow_accepted"
+	// RequestAnswered is the time from a request to the caller's first packet
+	// after the response.
+	RequestAnswered Reason = "request_answered"
+)
+
+var latencyNames = []Reason{FlowAccepted, RequestAnswered}
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -51,7 +51,10 @@
 
 	watchTimes WatchTimes
 
-	current atomic.Pointer[directory.Directory]
+	// current and revision are read without the lock: listeners of a change, which
+	// run under it, have locks of their own.
+	current  atomic.Pointer[directory.Directory]
+	revision atomic.Uint64
 	// watching is set while a watch is pending or about to be repeated.
 	watching atomic.Bool
 	// epoch is what confirmed, the time of the last confirmation, is counted
@@ -133,11 +136,7 @@
 }
 
 // Revision returns the revision up to which all changes are known.
-func (f *Follower) Revision() uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.state.Revision()
-}
+func (f *Follower) Revision() uint64 { return f.revision.Load() }
 
 // Since returns what a peer with a revision lacks. The reading has revision 0
 // while nothing is known.
@@ -256,6 +255,7 @@
 	if len(changes) > 0 || f.state.Revision() > before {
 		f.publish(from)
 	}
+	f.revision.Store(f.state.Revision())
 }
 
 func (f *Follower) decode(i Item) (directory.Change, bool) {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -124,3 +124,25 @@
 	*to = time.Duration(n * float64(unit))
 	return ""
 }
+
+// NeedRestart names the keys whose change takes effect when the daemon starts
+// again.
+func (e *Entry) NeedRestart(next *Entry) []string {
+	changed := []string{}
+	note := func(key string, differs bool) {
+		if differs {
+			changed = append(changed, key)
+		}
+	}
+	note("vm.name", e.Name != next.Name)
+	note("vm.region", e.Region != next.Region)
+	note("vm.zone", e.Zone != next.Zone)
+	note("addresses.data", e.Data != next.Data)
+	note("addresses.ready", e.Ready != next.Ready)
+	note("addresses.peer", e.Peer != next.Peer)
+	note("addresses.metrics", e.Metrics != next.Metrics)
+	note("addresses.store", e.Store != next.Store)
+	note("limits.grace_s", e.Grace != next.Grace)
+	note("limits.recovery_ms", e.Recovery != next.Recovery)
+	return changed
+}
