Keep deleted items deleted when old readings arrive

A listing that is older than the state brought a deleted server back, and a daemon that had only listed the store told its peers nothing of deletions before the listing.

--- a/internal/exchange/fetch.go
+++ b/internal/exchange/fetch.go
@@ -86,7 +86,8 @@
 func (e *Exchange) call(ctx context.Context, connections map[netip.Addr]*drpcconn.Conn, from netip.Addr) error {
 	conn := connections[from]
 	if conn == nil {
-		dialer := net.Dialer{Timeout: dialTimeout}
+		// Peers know a daemon by its address.
+		dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: e.options.Address.Addr().AsSlice()}}
 		raw, err := dialer.DialContext(ctx, "tcp4", netip.AddrPortFrom(from, e.options.Address.Port()).String())
 		if err != nil {
 			return errors.Wrap(err, "connect")
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -12,7 +12,8 @@
 type State struct {
 	revision uint64
 	items    map[string]Item
-	// forgotten is the highest revision of a tombstone that was dropped.
+	// forgotten is the highest revision up to which deletions may be unknown: a
+	// tombstone was dropped, or the state was listed.
 	forgotten uint64
 }
 
@@ -22,19 +23,23 @@
 // Revision returns the revision up to which all changes are known.
 func (s *State) Revision() uint64 { return s.revision }
 
-// Merge takes over what is newer than the state and returns it.
+// Merge takes over what is newer than the state and returns it. The state knows
+// every change up to its revision, so an older item that it lacks was deleted.
 func (s *State) Merge(r Reading, now time.Time) []Item {
 	var changed []Item
 	present := make(map[string]bool, len(r.Items))
 	for _, i := range r.Items {
 		present[i.Key] = true
-		if i.Revision > s.items[i.Key].Revision {
+		if i.Revision > max(s.revision, s.items[i.Key].Revision) {
 			s.items[i.Key] = i
 			changed = append(changed, i)
 		}
 	}
 	if r.Complete {
 		changed = append(changed, s.removeAbsent(present, r.Revision, now)...)
+		if r.Revision > s.revision {
+			s.forgotten = r.Revision
+		}
 	}
 	s.revision = max(s.revision, r.Revision)
 	s.prune(now)
--- /dev/null
+++ b/internal/registry/state_test.go
@@ -0,0 +1,109 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// history is a store whose every past state can be read.
+type history struct{ events []Item }
+
+func (h *history) add(i Item) {
+	i.Revision = uint64(len(h.events) + 1)
+	h.events = append(h.events, i)
+}
+
+// at returns the state at a revision.
+func (h *history) at(revision uint64) map[string]uint64 {
+	state := map[string]uint64{}
+	for _, i := range h.events[:revision] {
+		if i.Deleted {
+			delete(state, i.Key)
+		} else {
+			state[i.Key] = i.Revision
+		}
+	}
+	return state
+}
+
+func (h *history) list(revision uint64) Reading {
+	r := Reading{Revision: revision, Complete: true}
+	for key, rev := range h.at(revision) {
+		r.Items = append(r.Items, Item{Key: key, Revision: rev})
+	}
+	return r
+}
+
+func (h *history) changes(after, upTo uint64) Reading {
+	return Reading{Revision: upTo, Items: h.events[after:upTo]}
+}
+
+func live(s *State) map[string]uint64 {
+	out := map[string]uint64{}
+	for key, i := range s.items {
+		if !i.Deleted {
+			out[key] = i.Revision
+		}
+	}
+	return out
+}
+
+// Guards against a state that differs from the store, whatever mixture of old
+// and new listings, watches and answers of peers has led to it, or that goes
+// back to an older revision.
+func TestStateFollowsTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h history
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			key := fmt.Sprint("k", rapid.IntRange(0, 4).Draw(t, "key"))
+			_, exists := h.at(uint64(len(h.events)))[key]
+			h.add(Item{Key: key, Deleted: exists && rapid.Bool().Draw(t, "delete")})
+		}
+		now := time.Unix(0, 0)
+		states := []*State{NewState(), NewState(), NewState()}
+		newest := uint64(len(h.events))
+		for range rapid.IntRange(1, 40).Draw(t, "readings") {
+			s := states[rapid.IntRange(0, 2).Draw(t, "state")]
+			before := s.Revision()
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				s.Merge(h.list(rapid.Uint64Range(1, newest).Draw(t, "revision")), now)
+			case 1:
+				after := rapid.Uint64Range(0, before).Draw(t, "after")
+				s.Merge(h.changes(after, rapid.Uint64Range(after, newest).Draw(t, "upTo")), now)
+			case 2:
+				s.Merge(states[rapid.IntRange(0, 2).Draw(t, "peer")].Since(before), now)
+			}
+			if s.Revision() < before {
+				t.Fatalf("revision went from %d back to %d", before, s.Revision())
+			}
+			if got, want := fmt.Sprint(live(s)), fmt.Sprint(h.at(s.Revision())); got != want {
+				t.Fatalf("at revision %d: got %s, want %s", s.Revision(), got, want)
+			}
+			now = now.Add(rapid.SampledFrom([]time.Duration{0, time.Second, 2 * tombstoneTTL}).Draw(t, "pause"))
+		}
+	})
+}
+
+// Guards against a peer that never learns of a deletion because the tombstone
+// was dropped: it gets a complete reading.
+func TestSinceAfterTombstonesWereDropped(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	s := NewState()
+	s.Merge(Reading{Revision: 2, Items: []Item{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}}, now)
+	s.Merge(Reading{Revision: 3, Items: []Item{{Key: "a", Revision: 3, Deleted: true, Read: now}}}, now)
+	r := s.Since(2)
+	is.True(!r.Complete)
+	is.Equal(len(r.Items), 1)
+	s.Merge(Reading{Revision: 3}, now.Add(tombstoneTTL+time.Second))
+	r = s.Since(2)
+	is.True(r.Complete)
+	is.Equal(len(r.Items), 1)
+	is.Equal(r.Items[0].Key, "b")
+	is.True(!s.Since(3).Complete)
+}
--- /dev/null
+++ b/standin/platform/backend.go
@@ -0,0 +1,151 @@
+package platform
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// envelopeLength is the size of the server's number before each packet.
+const envelopeLength = 8
+
+// Backend is a backend server: it accepts flows and answers each request with
+// its id and the request.
+type Backend struct {
+	// ID is its id, such as "i-7f3a91c2", and Number the number in it.
+	ID     string
+	Number uint64
+	Pool   string
+	Zone   string
+	// Born is its start in Unix milliseconds.
+	Born int64
+
+	callerPort uint16
+	conn       *net.UDPConn
+
+	mu       sync.Mutex
+	deaf     bool
+	flows    map[[2]netip.AddrPort]*backendFlow
+	requests int
+	forged   int
+	strays   int
+}
+
+type backendFlow struct{ seq uint32 }
+
+// NewBackend starts a server on a loopback address.
+func NewBackend(addr netip.AddrPort, number uint64, pool, zone string, callerPort uint16) (*Backend, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for packets")
+	}
+	b := &Backend{
+		ID: fmt.Sprintf("i-%08x", number), Number: number, Pool: pool, Zone: zone, Born: time.Now().UnixMilli(),
+		callerPort: callerPort, conn: conn, flows: map[[2]netip.AddrPort]*backendFlow{},
+	}
+	go b.run()
+	return b, nil
+}
+
+// Close ends the server without a word.
+func (b *Backend) Close() { _ = b.conn.Close() } // the test ends
+
+// SetDeaf makes the server ignore all packets.
+func (b *Backend) SetDeaf(deaf bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.deaf = deaf
+}
+
+// Restart makes the server forget its flows, as a new process with its id.
+func (b *Backend) Restart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.flows = map[[2]netip.AddrPort]*backendFlow{}
+	b.Born++
+}
+
+// Counts returns the requests that were run, the packets with a wrong sum and
+// those that were meant for another server.
+func (b *Backend) Counts() (requests, forged, strays int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.requests, b.forged, b.strays
+}
+
+// Key and Entry are the server's registration in the store.
+func (b *Backend) Key() string { return "servers/" + b.ID }
+
+// Entry returns the registration in a state.
+func (b *Backend) Entry(state string) []byte {
+	value, err := json.Marshal(map[string]any{
+		"service": b.Pool, "address": b.conn.LocalAddr().String(), "zone": b.Zone, "version": "v1", "slots": 2,
+		"state": state, "cold_remaining_ms": 0, "seq": 1, "born": b.Born,
+	})
+	if err != nil {
+		panic(err) // the value is made of plain types
+	}
+	return value
+}
+
+func (b *Backend) run() {
+	buffer := make([]byte, 2048)
+	for {
+		n, _, err := b.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		if n > envelopeLength {
+			b.handle(binary.BigEndian.Uint64(buffer), buffer[envelopeLength:n])
+		}
+	}
+}
+
+func (b *Backend) handle(number uint64, raw []byte) {
+	p, err := DecodePacket(raw)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.deaf:
+	case err != nil || !p.Genuine:
+		b.forged++
+	case number != 0 && number != b.Number:
+		b.strays++
+	default:
+		b.accept(p)
+	}
+}
+
+func (b *Backend) accept(p Packet) {
+	id := [2]netip.AddrPort{p.Src, p.Dst}
+	f := b.flows[id]
+	switch {
+	case p.Flags&SYN != 0 && f == nil:
+		f = &backendFlow{seq: uint32(b.Number)}
+		b.flows[id] = f
+		b.reply(p, Packet{Seq: f.seq, Flags: SYN | ACK})
+	case p.Flags&SYN != 0:
+		b.reply(p, Packet{Seq: f.seq, Flags: SYN | ACK})
+	case f == nil:
+		b.reply(p, Packet{Flags: RST})
+	case p.Flags&FIN != 0:
+		delete(b.flows, id)
+		b.reply(p, Packet{Flags: FIN | ACK})
+	case len(p.Data) > 0:
+		b.requests++
+		b.reply(p, Packet{Seq: f.seq + 1, Flags: ACK, Data: append([]byte(b.ID+" "), p.Data...)})
+	}
+}
+
+func (b *Backend) reply(to, p Packet) {
+	p.Src, p.Dst, p.Echo = to.Dst, to.Src, to.Echo
+	p.Ack = to.Seq + uint32(len(to.Data))
+	// A lost response is what the tests look for.
+	_, _ = b.conn.WriteToUDPAddrPort(p.Encode(), netip.AddrPortFrom(to.Src.Addr(), b.callerPort))
+}
--- /dev/null
+++ b/standin/platform/caller.go
@@ -0,0 +1,128 @@
+package platform
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrReset is the result of a flow that was reset.
+var ErrReset = errors.New("flow was reset")
+
+// Caller opens flows from one loopback address.
+type Caller struct {
+	conn    *net.UDPConn
+	addr    netip.Addr
+	port    uint16
+	timeout time.Duration
+}
+
+// NewCaller returns a caller that gets packets at an address; the port is the
+// one where daemons get theirs. A call fails when no answer comes in timeout.
+func NewCaller(addr netip.AddrPort, timeout time.Duration) (*Caller, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for packets")
+	}
+	return &Caller{conn: conn, addr: addr.Addr(), port: 1024, timeout: timeout}, nil
+}
+
+// Close closes the socket.
+func (c *Caller) Close() { _ = c.conn.Close() } // the test ends
+
+// Flow is one open flow.
+type Flow struct {
+	caller  *Caller
+	src     netip.AddrPort
+	service netip.AddrPort
+	// Echo is what the last packet carried.
+	Echo     uint32
+	seq, ack uint32
+}
+
+// Open opens a flow through a daemon.
+func (c *Caller) Open(via, service netip.AddrPort) (*Flow, error) {
+	c.port++
+	f := &Flow{caller: c, src: netip.AddrPortFrom(c.addr, c.port), service: service, seq: 1000}
+	p, err := f.exchange(via, Packet{Seq: f.seq, Flags: SYN})
+	if err != nil {
+		return nil, errors.Wrap(err, "open")
+	}
+	f.seq, f.ack = f.seq+1, p.Seq
+	return f, f.send(via, Packet{Seq: f.seq, Ack: f.ack, Flags: ACK})
+}
+
+// Request sends a request through a daemon and returns the response.
+func (f *Flow) Request(via netip.AddrPort, data string) (string, error) {
+	p, err := f.exchange(via, Packet{Seq: f.seq, Ack: f.ack, Flags: ACK, Data: []byte(data)})
+	if err != nil {
+		return "", errors.Wrap(err, "request")
+	}
+	f.seq += uint32(len(data))
+	f.ack = p.Seq + uint32(len(p.Data))
+	return string(p.Data), nil
+}
+
+// End closes the flow through a daemon.
+func (f *Flow) End(via netip.AddrPort) error {
+	_, err := f.exchange(via, Packet{Seq: f.seq, Ack: f.ack, Flags: FIN | ACK})
+	return err
+}
+
+func (f *Flow) send(via netip.AddrPort, p Packet) error {
+	p.Src, p.Dst, p.Echo = f.src, f.service, f.Echo
+	_, err := f.caller.conn.WriteToUDPAddrPort(p.Encode(), via)
+	return err
+}
+
+// exchange sends a packet until its answer comes.
+func (f *Flow) exchange(via netip.AddrPort, p Packet) (Packet, error) {
+	buffer := make([]byte, 2048)
+	deadline := time.Now().Add(f.caller.timeout)
+	for time.Now().Before(deadline) {
+		if err := f.send(via, p); err != nil {
+			return Packet{}, err
+		}
+		answer, ok, err := f.receive(buffer, time.Now().Add(resendAfter))
+		if err != nil {
+			return Packet{}, err
+		}
+		if ok {
+			return answer, nil
+		}
+	}
+	return Packet{}, errors.New("no answer")
+}
+
+// resendAfter is the time after which an end repeats a packet.
+const resendAfter = 200 * time.Millisecond
+
+// receive returns the next packet of the flow.
+func (f *Flow) receive(buffer []byte, until time.Time) (Packet, bool, error) {
+	for {
+		if err := f.caller.conn.SetReadDeadline(until); err != nil {
+			return Packet{}, false, err
+		}
+		n, _, err := f.caller.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return Packet{}, false, nil // the time has passed
+		}
+		p, err := DecodePacket(buffer[:n])
+		if err != nil {
+			return Packet{}, false, err
+		}
+		if p.Src != f.service || p.Dst != f.src {
+			continue
+		}
+		if p.Flags&RST != 0 {
+			return p, false, ErrReset
+		}
+		if !p.Genuine {
+			return p, false, errors.New("packet was changed on its way")
+		}
+		f.Echo = p.Echo
+		return p, true, nil
+	}
+}
--- /dev/null
+++ b/standin/platform/packet.go
@@ -0,0 +1,74 @@
+package platform
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"net/netip"
+
+	"github.com/go-faster/errors"
+)
+
+// Flags of a packet.
+const (
+	ACK byte = 4
+	FIN byte = 8
+	RST byte = 32
+	SYN byte = 64
+)
+
+const headerLength = 31
+
+// Packet is one packet as its ends see it.
+type Packet struct {
+	Seq, Ack, Echo uint32
+	Flags          byte
+	Src, Dst       netip.AddrPort
+	Data           []byte
+	// Genuine tells that the sum is the one its sender wrote.
+	Genuine bool
+}
+
+// key makes the sum of a packet a secret between the ends.
+const key = "a secret of the ends"
+
+// Encode writes the packet with its sum.
+func (p Packet) Encode() []byte {
+	b := make([]byte, headerLength+len(p.Data))
+	binary.BigEndian.PutUint32(b[0:], p.Seq)
+	binary.BigEndian.PutUint32(b[4:], p.Ack)
+	binary.BigEndian.PutUint32(b[8:], p.Echo)
+	b[12] = p.Flags
+	binary.BigEndian.PutUint16(b[13:], p.Dst.Port())
+	binary.BigEndian.PutUint16(b[15:], p.Src.Port())
+	src, dst := p.Src.Addr().As4(), p.Dst.Addr().As4()
+	copy(b[17:], src[:])
+	copy(b[21:], dst[:])
+	binary.BigEndian.PutUint16(b[29:], uint16(len(p.Data)))
+	copy(b[headerLength:], p.Data)
+	binary.BigEndian.PutUint32(b[25:], sum(b))
+	return b
+}
+
+// sum covers all fields but the echo and itself.
+func sum(b []byte) uint32 {
+	h := fnv.New32a()
+	for _, part := range [][]byte{[]byte(key), b[:8], b[12:25], b[29:]} {
+		_, _ = h.Write(part) // never fails
+	}
+	return h.Sum32()
+}
+
+// DecodePacket reads a packet.
+func DecodePacket(b []byte) (Packet, error) {
+	if len(b) < headerLength || headerLength+int(binary.BigEndian.Uint16(b[29:])) != len(b) {
+		return Packet{}, errors.Errorf("packet of %d bytes is not whole", len(b))
+	}
+	return Packet{
+		Seq: binary.BigEndian.Uint32(b[0:]), Ack: binary.BigEndian.Uint32(b[4:]), Echo: binary.BigEndian.Uint32(b[8:]),
+		Flags:   b[12],
+		Dst:     netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[21:])), binary.BigEndian.Uint16(b[13:])),
+		Src:     netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[17:])), binary.BigEndian.Uint16(b[15:])),
+		Data:    append([]byte(nil), b[headerLength:]...),
+		Genuine: binary.BigEndian.Uint32(b[25:]) == sum(b),
+	}, nil
+}
--- /dev/null
+++ b/standin/platform/store.go
@@ -0,0 +1,369 @@
+// Package platform has stand-ins for the users' platform: the store over HTTP,
+// and callers and backend servers that exchange packets over UDP. They speak the
+// platform's protocol and serve tests.
+package platform
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// pageSize is how many items a page of a listing has.
+const pageSize = 50
+
+// Item is an item of the store, or an event about one.
+type Item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Created  uint64 `json:"created,omitempty"`
+	Lease    uint64 `json:"lease,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// Store keeps items in memory. It is reached through Endpoints.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]Item
+	events   []Item
+	// forgotten is the revision up to which events were dropped.
+	forgotten uint64
+	leases    map[uint64]time.Time
+	nextLease uint64
+	changed   chan struct{}
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		revision: 10, items: map[string]Item{}, leases: map[uint64]time.Time{}, nextLease: 100, changed: make(chan struct{}),
+	}
+}
+
+// Put writes an item.
+func (s *Store) Put(key string, value []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(key, value, 0)
+}
+
+func (s *Store) put(key string, value []byte, lease uint64) uint64 {
+	s.revision++
+	i := Item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
+	if old, ok := s.items[key]; ok {
+		i.Created = old.Created
+	}
+	s.items[key] = i
+	s.announce(i)
+	return s.revision
+}
+
+// Delete removes an item.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.announce(Item{Key: key, Revision: s.revision, Deleted: true})
+}
+
+func (s *Store) announce(i Item) {
+	s.events = append(s.events, i)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Forget drops the history, so that watches after older revisions fail.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten, s.events = s.revision, nil
+}
+
+// Item returns an item.
+func (s *Store) Item(key string) (Item, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[key]
+	return i, ok
+}
+
+// Fault is what an Endpoint does with calls.
+type Fault int
+
+// Faults of an Endpoint.
+const (
+	// None serves the calls.
+	None Fault = iota
+	// Busy answers 503, Throttled 429.
+	Busy
+	Throttled
+	// Silent never answers and keeps the connections.
+	Silent
+	// Lost carries the call out and breaks the connection.
+	Lost
+)
+
+// Endpoint serves a Store on one address, with faults of its own, so that some
+// machines can be refused while others are served.
+type Endpoint struct {
+	store    *Store
+	listener net.Listener
+	http     *http.Server
+
+	mu       sync.Mutex
+	fault    Fault
+	calls    int
+	released chan struct{}
+}
+
+// Listen serves the store on a loopback port.
+func (s *Store) Listen() (*Endpoint, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for store calls")
+	}
+	e := &Endpoint{store: s, listener: listener, released: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv-range", e.list)
+	mux.HandleFunc("GET /kv-watch", e.watch)
+	mux.HandleFunc("POST /kv-txn", e.txn)
+	mux.HandleFunc("POST /kv-lease", e.lease)
+	mux.HandleFunc("POST /kv-keep/{id}", e.keep)
+	e.http = &http.Server{Handler: e.guard(mux), ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = e.http.Serve(listener) }() // ends with Close
+	return e, nil
+}
+
+// Addr returns the address of the endpoint.
+func (e *Endpoint) Addr() netip.AddrPort {
+	return netip.MustParseAddrPort(e.listener.Addr().String())
+}
+
+// Close ends the endpoint and its connections.
+func (e *Endpoint) Close() {
+	e.Set(Busy)
+	_ = e.http.Close() // the test ends
+}
+
+// Set changes what happens to the calls; calls that hang are released.
+func (e *Endpoint) Set(f Fault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault = f
+	close(e.released)
+	e.released = make(chan struct{})
+}
+
+// Calls returns how many calls have arrived.
+func (e *Endpoint) Calls() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.calls
+}
+
+func (e *Endpoint) state() (Fault, chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fault, e.released
+}
+
+func (e *Endpoint) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		e.calls++
+		fault, released := e.fault, e.released
+		e.mu.Unlock()
+		switch fault {
+		case Busy:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case Throttled:
+			w.WriteHeader(http.StatusTooManyRequests)
+		case Silent:
+			select {
+			case <-released:
+			case <-r.Context().Done():
+			}
+			panic(http.ErrAbortHandler) // the connection breaks without an answer
+		case Lost:
+			next.ServeHTTP(discard{header: http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+// discard is a response that nobody gets.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d discard) WriteHeader(int)             {}
+
+func (e *Endpoint) list(w http.ResponseWriter, r *http.Request) {
+	s := e.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, r.URL.Query().Get("prefix")) && key > r.URL.Query().Get("after") {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	answer := struct {
+		Items      []Item `json:"items"`
+		HasMore    bool   `json:"has_more"`
+		CurrentRev uint64 `json:"current_rev"`
+	}{Items: []Item{}, HasMore: len(keys) > pageSize, CurrentRev: s.revision}
+	for _, key := range keys[:min(len(keys), pageSize)] {
+		answer.Items = append(answer.Items, s.items[key])
+	}
+	reply(w, answer)
+}
+
+func (e *Endpoint) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	waitMS, _ := strconv.Atoi(q.Get("wait_ms"))
+	timeout := time.After(time.Duration(waitMS) * time.Millisecond)
+	for {
+		events, current, changed, ok := e.store.since(q.Get("prefix"), after)
+		if !ok {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		_, released := e.state()
+		if len(events) == 0 {
+			select {
+			case <-changed:
+				if f, _ := e.state(); f == None {
+					continue
+				}
+				// A fault began during the watch: it hears nothing more.
+				<-r.Context().Done()
+				return
+			case <-released:
+				continue
+			case <-r.Context().Done():
+				return
+			case <-timeout:
+			}
+		}
+		reply(w, struct {
+			Events     []Item `json:"events"`
+			CurrentRev uint64 `json:"current_rev"`
+		}{events, current})
+		return
+	}
+}
+
+func (s *Store) since(prefix string, after uint64) (events []Item, current uint64, changed chan struct{}, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	events = []Item{}
+	for _, i := range s.events {
+		if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
+			events = append(events, i)
+		}
+	}
+	return events, s.revision, s.changed, after >= s.forgotten
+}
+
+func (e *Endpoint) txn(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Expected []struct {
+			Key      string `json:"key"`
+			Revision uint64 `json:"revision"`
+		} `json:"expected_rev"`
+		Puts   []Item   `json:"puts"`
+		Remove []string `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s := e.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range body.Expected {
+		if s.items[x.Key].Revision != x.Revision {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	for _, p := range body.Puts {
+		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		s.put(p.Key, p.Value, p.Lease)
+	}
+	for _, key := range body.Remove {
+		s.remove(key)
+	}
+	reply(w, map[string]uint64{"revision": s.revision})
+}
+
+func (e *Endpoint) lease(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		TTLMS int64 `json:"ttl_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.TTLMS < 1000 || body.TTLMS > 600_000 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s := e.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextLease++
+	s.leases[s.nextLease] = time.Now().Add(time.Duration(body.TTLMS) * time.Millisecond)
+	reply(w, map[string]any{"lease": s.nextLease, "ttl_ms": body.TTLMS})
+}
+
+func (e *Endpoint) keep(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	s := e.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.leases[id]; !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, map[string]any{"ttl_ms": 1000})
+}
+
+// EndLease ends a lease and removes its items.
+func (s *Store) EndLease(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.leases, id)
+	for key, i := range s.items {
+		if i.Lease == id {
+			s.remove(key)
+		}
+	}
+}
+
+func reply(w http.ResponseWriter, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer) // the caller may have gone
+}
