Test the packet path, the placement, the reports and whole daemons

Failures that the tests found and this change mends: a copy of the opening packet reset an open flow whose route had been dropped (TestDroppedRoute); a report of more than 140 servers did not fit into the receive buffer (TestReportsFitIntoOnePacket).

--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -114,12 +114,6 @@
 // open places a new flow, or repeats the placement of one whose opening packet
 // is a copy.
 func (e *Engine) open(d *directory.Directory, p Packet, now time.Time) (*directory.Server, error) {
-	route := d.Route(p.Service)
-	if route == nil {
-		age := e.tables.Age(now)
-		e.logRefusal(d, p, metrics.NoRoute, now)
-		return nil, refusal{metrics.NoRoute, age <= freshEnough}
-	}
 	key := flowKey{p.Caller, p.Service}
 	f := e.flows[key]
 	if f != nil && f.established {
@@ -127,6 +121,11 @@
 		f.lastSeen = now
 		return f.server, nil
 	}
+	route := d.Route(p.Service)
+	if route == nil {
+		e.logRefusal(d, p, metrics.NoRoute, now)
+		return nil, refusal{metrics.NoRoute, e.tables.Age(now) <= freshEnough}
+	}
 	avoid := directory.Cookie(0)
 	if f != nil && f.ticket != nil {
 		avoid = f.server.Cookie
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -74,7 +75,7 @@
 // New opens the daemon's sockets. Call Run next.
 func New(o Options) (*Daemon, error) {
 	watch := registry.WatchTimesFor(o.Settings.Recovery)
-	d := &Daemon{options: o, placer: placement.New(o.Settings.Zone)}
+	d := &Daemon{options: o, placer: placement.New(o.Settings.Zone, rand.Uint64())}
 	d.follower = registry.NewFollower(registry.Options{
 		Source: o.Source, Decoder: o.Decoder, Log: o.Log, Metrics: o.Metrics, Watch: watch,
 	})
--- /dev/null
+++ b/internal/entry/daemon_test.go
@@ -0,0 +1,420 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"knapweedshore.example/internal/entry"
+	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/settings"
+	adapter "knapweedshore.example/platform"
+	"knapweedshore.example/standin/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Ports that all daemons of a site share.
+const (
+	dataPort  = 8172
+	readyPort = 8167
+	peerPort  = 7720
+)
+
+var serviceAddr = netip.MustParseAddrPort("198.18.0.1:443")
+
+// site is a small site on loopback addresses of its own.
+type site struct {
+	t       *testing.T
+	store   *platform.Store
+	network byte
+	daemons []*daemon
+	caller  *platform.Caller
+}
+
+type daemon struct {
+	settings *settings.Entry
+	endpoint *platform.Endpoint
+	logs     *observer.ObservedLogs
+	stop     context.CancelFunc
+	done     chan error
+}
+
+// networks gives each test its own addresses: 127.N.*.*.
+var networks = byte(20 + os.Getpid()%200)
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	networks++
+	s := &site{t: t, store: platform.NewStore(), network: networks}
+	caller, err := platform.NewCaller(s.addr(9, 1, dataPort), 5*time.Second)
+	s.check(err)
+	t.Cleanup(caller.Close)
+	s.caller = caller
+	s.configure(1, serviceAddr)
+	return s
+}
+
+func (s *site) check(err error) {
+	s.t.Helper()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *site) addr(group, n byte, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.network, group, n}), port)
+}
+
+// configure writes a configuration with routes to service "s" at addresses.
+func (s *site) configure(version int, addresses ...netip.AddrPort) {
+	var routes []map[string]any
+	for i, a := range addresses {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprint("r", i), "host": a.Addr().String(), "prefix": fmt.Sprintf("/%d/", a.Port()),
+			"kind": "safe", "timeout_ms": 2000, "target_latency_ms": 150, "service": "s",
+		})
+	}
+	value, err := json.Marshal(map[string]any{"version": version, "routes": routes, "services": []any{}, "limits": map[string]any{}})
+	s.check(err)
+	s.store.Put("op/config", value)
+}
+
+func (s *site) backend(n byte, zone string) *platform.Backend {
+	b, err := platform.NewBackend(s.addr(8, n, 8080), 0x7f000000+uint64(n), "s", zone, dataPort)
+	s.check(err)
+	s.t.Cleanup(b.Close)
+	s.store.Put(b.Key(), b.Entry("ready"))
+	return b
+}
+
+// start runs a daemon with an endpoint of the store of its own. Its seeds are
+// the daemons that were started before.
+func (s *site) start(zone string) *daemon {
+	s.t.Helper()
+	endpoint, err := s.store.Listen()
+	s.check(err)
+	s.t.Cleanup(endpoint.Close)
+	return s.startAt(byte(len(s.daemons)+1), zone, endpoint)
+}
+
+func (s *site) startAt(n byte, zone string, endpoint *platform.Endpoint) *daemon {
+	s.t.Helper()
+	d := &daemon{endpoint: endpoint, done: make(chan error, 1), settings: &settings.Entry{
+		Name: fmt.Sprint("vm", n), Region: "r", Zone: zone, Data: s.addr(1, n, dataPort), Ready: s.addr(1, n, readyPort),
+		Peer: s.addr(1, n, peerPort), Store: endpoint.Addr(), Grace: 3 * time.Second, Recovery: 4 * time.Second,
+	}}
+	for _, other := range s.daemons {
+		d.settings.Seeds = append(d.settings.Seeds, other.settings.Peer)
+	}
+	core, logs := observer.New(zapcore.DebugLevel)
+	d.logs = logs
+	client := adapter.NewStore(endpoint.Addr())
+	running, err := entry.New(entry.Options{
+		Settings: d.settings, Source: client, Decoder: adapter.Decoder{}, Codec: adapter.Codec{},
+		ReadyPattern: adapter.ReadyPattern, Metrics: metrics.NewRegistry(), Log: events.New(zap.New(core)),
+	})
+	s.check(err)
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	go func() {
+		d.done <- running.Run(ctx, entry.Reload{})
+		client.Close()
+	}()
+	s.daemons = append(s.daemons, d)
+	s.t.Cleanup(func() { d.end(s.t) })
+	return d
+}
+
+// end stops the daemon if it runs.
+func (d *daemon) end(t *testing.T) {
+	if d.stop == nil {
+		return
+	}
+	d.stop()
+	d.stop = nil
+	if err := <-d.done; err != nil {
+		t.Errorf("daemon %s: %v", d.settings.Name, err)
+	}
+}
+
+func (d *daemon) ready() bool {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	r, err := client.Get("http://" + d.settings.Ready.String() + "/ready")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = r.Body.Close() }()
+	return r.StatusCode == http.StatusOK
+}
+
+// await fails the test if the condition does not hold within the bound.
+func (s *site) await(what string, bound time.Duration, condition func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(bound)
+	for !condition() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("%s: not within %s", what, bound)
+		}
+		<-time.After(10 * time.Millisecond)
+	}
+}
+
+func (s *site) awaitReady(daemons ...*daemon) {
+	s.t.Helper()
+	for _, d := range daemons {
+		s.await(d.settings.Name+" ready", 5*time.Second, d.ready)
+	}
+}
+
+// serve makes one request on a flow of its own.
+func (s *site) serve(via *daemon, service netip.AddrPort) (string, error) {
+	flow, err := s.caller.Open(via.settings.Data, service)
+	if err != nil {
+		return "", err
+	}
+	answer, err := flow.Request(via.settings.Data, "hello")
+	if err != nil {
+		return "", err
+	}
+	return answer, flow.End(via.settings.Data)
+}
+
+// Guards against a calm day that is not served: registration, tables,
+// placement, packets in both formats and the response past the daemon.
+func TestRequestIsServed(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	b := s.backend(1, "a")
+	d := s.start("a")
+	s.awaitReady(d)
+	answer, err := s.serve(d, serviceAddr)
+	is.NoErr(err)
+	is.Equal(answer, b.ID+" hello")
+	requests, forged, strays := b.Counts()
+	is.Equal([]int{requests, forged, strays}, []int{1, 0, 0})
+	_, registered := s.store.Item("knapweedshore/vms/" + d.settings.Peer.Addr().String())
+	is.True(registered)
+}
+
+// Guards against flows that depend on the daemon that placed them: every packet
+// may take another daemon, and the first one may end.
+func TestFlowSurvivesItsDaemon(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	servers := []*platform.Backend{s.backend(1, "a"), s.backend(2, "a"), s.backend(3, "b")}
+	first, second := s.start("a"), s.start("b")
+	s.awaitReady(first, second)
+	var flows []*platform.Flow
+	var owners []string
+	for range 10 {
+		flow, err := s.caller.Open(first.settings.Data, serviceAddr)
+		is.NoErr(err)
+		answer, err := flow.Request(first.settings.Data, "1")
+		is.NoErr(err)
+		flows, owners = append(flows, flow), append(owners, answer)
+	}
+	first.end(t)
+	for i, flow := range flows {
+		answer, err := flow.Request(second.settings.Data, "1")
+		is.NoErr(err)
+		is.Equal(answer, owners[i])
+	}
+	for _, b := range servers {
+		_, forged, strays := b.Counts()
+		is.Equal(forged+strays, 0)
+	}
+}
+
+// Guards against a daemon that takes packets before it has tables, and against
+// one that is told to end and stops forwarding while the fabric still sends.
+func TestReadiness(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.backend(1, "a")
+	endpoint, err := s.store.Listen()
+	is.NoErr(err)
+	t.Cleanup(endpoint.Close)
+	endpoint.Set(platform.Busy)
+	d := s.startAt(1, "a", endpoint)
+	s.await("first call", 5*time.Second, func() bool { return endpoint.Calls() > 1 })
+	is.True(!d.ready())
+	endpoint.Set(platform.None)
+	s.awaitReady(d)
+
+	d.stop()
+	s.await("not ready", time.Second, func() bool { return !d.ready() })
+	_, err = s.serve(d, serviceAddr)
+	is.NoErr(err)
+	is.NoErr(<-d.done)
+	d.stop = nil
+}
+
+// Guards against a daemon that cannot start while the store is away although
+// its peers could tell it everything.
+func TestStartWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.backend(1, "a")
+	first, second := s.start("a"), s.start("a")
+	s.awaitReady(first, second)
+	// Both must know each other's registration before the store goes.
+	s.await("peers", 5*time.Second, func() bool {
+		return first.logs.FilterMessage(events.DirectoryApplied.Message).Len() > 0 && s.registered(second)
+	})
+	second.end(t)
+	for _, d := range []*daemon{first, second} {
+		d.endpoint.Set(platform.Silent)
+	}
+	again := s.startAt(2, "a", second.endpoint)
+	s.await("ready from a peer", 5*time.Second, again.ready)
+	_, err := s.serve(again, serviceAddr)
+	is.NoErr(err)
+}
+
+func (s *site) registered(d *daemon) bool {
+	_, ok := s.store.Item("knapweedshore/vms/" + d.settings.Peer.Addr().String())
+	return ok
+}
+
+// Guards against changes that reach only the daemons that watch the store, and
+// against a daemon that the store refuses and that therefore serves old tables:
+// within 3 s a change is in force on all of them.
+func TestChangesReachDaemonsThatTheStoreRefuses(t *testing.T) {
+	s := newSite(t)
+	s.backend(1, "a")
+	daemons := []*daemon{s.start("a"), s.start("a"), s.start("b")}
+	s.awaitReady(daemons...)
+	s.await("registrations", 5*time.Second, func() bool {
+		return s.registered(daemons[0]) && s.registered(daemons[1]) && s.registered(daemons[2])
+	})
+	<-time.After(time.Second) // the registrations reach the others
+	daemons[0].endpoint.Set(platform.Busy)
+	added := netip.MustParseAddrPort("198.18.0.2:443")
+	s.configure(2, serviceAddr, added)
+	changed := time.Now()
+	for _, d := range daemons {
+		s.await("new route at "+d.settings.Name, 3*time.Second-time.Since(changed), func() bool {
+			_, err := s.serve(d, added)
+			return err == nil
+		})
+	}
+	s.configure(3, serviceAddr)
+	changed = time.Now()
+	for _, d := range daemons {
+		s.await("dropped route at "+d.settings.Name, 3*time.Second-time.Since(changed), func() bool {
+			_, err := s.serve(d, added)
+			return errors.Is(err, platform.ErrReset)
+		})
+	}
+}
+
+// Guards against new flows to a server more than 3 s after it said that it is
+// draining, and against open flows that lose it.
+func TestDrainingServer(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	leaving, staying := s.backend(1, "a"), s.backend(2, "a")
+	d := s.start("a")
+	s.awaitReady(d)
+	var flow *platform.Flow
+	s.await("flow on the server that leaves", 5*time.Second, func() bool {
+		f, err := s.caller.Open(d.settings.Data, serviceAddr)
+		is.NoErr(err)
+		answer, err := f.Request(d.settings.Data, "1")
+		is.NoErr(err)
+		flow = f
+		return strings.HasPrefix(answer, leaving.ID)
+	})
+	s.store.Put(leaving.Key(), leaving.Entry("draining"))
+	<-time.After(3 * time.Second)
+	before, _, _ := leaving.Counts()
+	for range 10 {
+		answer, err := s.serve(d, serviceAddr)
+		is.NoErr(err)
+		is.Equal(answer, staying.ID+" hello")
+	}
+	after, _, _ := leaving.Counts()
+	is.Equal(after, before)
+	answer, err := flow.Request(d.settings.Data, "2")
+	is.NoErr(err)
+	is.Equal(answer, leaving.ID+" 2")
+}
+
+// Guards against a server that stays silent and takes flows with it while
+// others are free: the copy of the opening packet goes to another one.
+func TestSilentServerLosesItsFlows(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	deaf := s.backend(1, "a")
+	s.backend(2, "a")
+	d := s.start("a")
+	s.awaitReady(d)
+	deaf.SetDeaf(true)
+	for range 6 {
+		_, err := s.serve(d, serviceAddr)
+		is.NoErr(err)
+	}
+}
+
+// Guards against settings that change without effect, and against a faulty file
+// that stops the daemon.
+func TestReload(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	d := s.start("a")
+	s.awaitReady(d)
+	d.end(t)
+
+	path := filepath.Join(t.TempDir(), "entry.ini")
+	write := func(text string) { is.NoErr(os.WriteFile(path, []byte(text), 0o600)) }
+	good := fmt.Sprintf("[vm]\nname = vm1\nregion = r\nzone = a\n[addresses]\ndata = %s\nready = %s\npeer = %s\nstore = %s\n",
+		d.settings.Data, d.settings.Ready, d.settings.Peer, d.settings.Store)
+	write(good)
+	loaded, err := settings.LoadEntry(path)
+	is.NoErr(err)
+	core, logs := observer.New(zapcore.InfoLevel)
+	client := adapter.NewStore(loaded.Store)
+	running, err := entry.New(entry.Options{
+		Settings: loaded, Source: client, Decoder: adapter.Decoder{}, Codec: adapter.Codec{},
+		ReadyPattern: adapter.ReadyPattern, Metrics: metrics.NewRegistry(), Log: events.New(zap.New(core)),
+	})
+	is.NoErr(err)
+	ctx, stop := context.WithCancel(context.Background())
+	hangup := make(chan os.Signal, 1)
+	var level string
+	done := make(chan error, 1)
+	go func() {
+		done <- running.Run(ctx, entry.Reload{Path: path, Signal: hangup, SetLevel: func(b []byte) error { level = string(b); return nil }})
+		client.Close()
+	}()
+	has := func(e events.Event) func() bool {
+		return func() bool { return logs.FilterMessage(e.Message).Len() > 0 }
+	}
+	s.await("start", 5*time.Second, has(events.Ready))
+	write("[vm]\nname = ?\n")
+	s.await("refusal of a faulty file", 5*time.Second, has(events.ReloadRefused))
+	write(strings.Replace(good, "zone = a", "zone = b", 1) + "[log]\nlevel = warn\n")
+	hangup <- os.Interrupt
+	s.await("change", 5*time.Second, has(events.Reloaded))
+	stop()
+	is.NoErr(<-done)
+	is.Equal(level, "warn")
+	fields := logs.FilterMessage(events.Reloaded.Message).All()[0].ContextMap()
+	is.Equal(fmt.Sprint(fields["restart"]), "[vm.zone]")
+}
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -15,7 +15,7 @@
 // daemon that works with more servers than fit leaves out some.
 const (
 	maxReport  = 1400
-	maxServers = 150
+	maxServers = 120
 )
 
 func encodeReport(r Report) ([]byte, error) {
--- /dev/null
+++ b/internal/exchange/table_test.go
@@ -0,0 +1,271 @@
+package exchange
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"knapweedshore.example/internal/directory"
+)
+
+var epoch = time.Unix(0, 0)
+
+const maxDirectoryAge = 3200 * time.Millisecond
+
+func addr(zone, n int) netip.Addr { return netip.AddrFrom4([4]byte{10, byte(zone), 0, byte(n)}) }
+
+func zoneName(zone int) string { return fmt.Sprint("zone-", zone) }
+
+// member is one daemon of a region in the model.
+type member struct {
+	table    *Table
+	addr     netip.Addr
+	zone     int
+	revision uint64
+	age      time.Duration
+	sequence uint64
+	dead     bool
+}
+
+func (m *member) report() Report {
+	m.sequence++
+	return Report{
+		VM: m.addr.String(), Zone: zoneName(m.zone), Start: 1, Sequence: m.sequence, Revision: m.revision, Age: m.age,
+	}
+}
+
+// region has as many daemons in each zone as it is given, all registered.
+func region(daemons ...int) []*member {
+	var members []*member
+	b := directory.NewBuilder()
+	for zone, n := range daemons {
+		for i := range n {
+			m := &member{addr: addr(zone, i+1), zone: zone, revision: 1}
+			m.table = NewTable(TableOptions{
+				Self: m.addr, Zone: zoneName(zone), MaxAge: maxDirectoryAge,
+				Own: func(time.Time) (uint64, time.Duration) { return m.revision, m.age },
+			})
+			members = append(members, m)
+			b.Apply([]directory.Change{{VM: &directory.VM{Name: m.addr.String(), Zone: zoneName(zone), Addr: m.addr}}}, 1, epoch)
+		}
+	}
+	d := b.Build()
+	for _, m := range members {
+		m.table.Apply(d, epoch)
+	}
+	return members
+}
+
+// exchangeReports lets all live daemons hear each other, unless cut says that
+// two zones do not.
+func exchangeReports(members []*member, now time.Time, cut func(a, b int) bool) {
+	for _, from := range members {
+		for _, to := range members {
+			if from != to && !from.dead && !to.dead && (cut == nil || !cut(from.zone, to.zone)) {
+				to.table.Heard(from.addr, from.report(), now)
+			}
+		}
+	}
+}
+
+func watchers(members []*member, now time.Time) []netip.Addr {
+	var out []netip.Addr
+	for _, m := range members {
+		if !m.dead && m.table.Watches(now) {
+			out = append(out, m.addr)
+		}
+	}
+	return out
+}
+
+// Guards against calls that grow with the fleet: two daemons watch, whatever
+// its size.
+func TestTwoDaemonsWatch(t *testing.T) {
+	for _, daemons := range [][]int{{3, 3, 2}, {3, 2, 1, 2}, {16, 16, 16, 16, 16}} {
+		is := is.New(t)
+		members := region(daemons...)
+		exchangeReports(members, epoch, nil)
+		is.Equal(watchers(members, epoch), []netip.Addr{addr(0, 1), addr(1, 1)})
+	}
+	is := is.New(t)
+	members := region(4)
+	exchangeReports(members, epoch, nil)
+	is.Equal(watchers(members, epoch), []netip.Addr{addr(0, 1)})
+}
+
+// Guards against a watcher that is gone, leaves or has lost the store, and that
+// nobody replaces.
+func TestTheNextDaemonTakesTheWatchOver(t *testing.T) {
+	for name, end := range map[string]func(m *member){
+		"dead": func(m *member) { m.dead = true },
+		"old":  func(m *member) { m.age = maxDirectoryAge + time.Second },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			members := region(3, 3, 2)
+			exchangeReports(members, epoch, nil)
+			end(members[0])
+			now := epoch.Add(time.Second)
+			exchangeReports(members, now, nil)
+			is.True(contains(watchers(members, now), addr(0, 2)))
+			is.True(!contains(watchers(members, now), addr(0, 3)))
+		})
+	}
+	t.Run("leaving", func(t *testing.T) {
+		is := is.New(t)
+		members := region(2)
+		r := members[0].report()
+		r.Leaving = true
+		members[1].table.Heard(members[0].addr, r, epoch)
+		is.True(members[1].table.Watches(epoch))
+	})
+}
+
+func contains(list []netip.Addr, a netip.Addr) bool {
+	for _, x := range list {
+		if x == a {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against zones that nobody keeps up to date while they are cut off from
+// the others: each then has a watcher of its own.
+func TestEachSideOfACutWatches(t *testing.T) {
+	is := is.New(t)
+	members := region(3, 3, 2)
+	exchangeReports(members, epoch, nil)
+	now := epoch.Add(10 * time.Second)
+	exchangeReports(members, now, func(a, b int) bool { return a != b })
+	is.Equal(watchers(members, now), []netip.Addr{addr(0, 1), addr(1, 1), addr(2, 1)})
+}
+
+// Guards against a daemon that stays old because the peers report news and do
+// not hand it on, and against one that calls the store although the peers are
+// about to hand it on.
+func TestDaemonThatIsBehindWatchesAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	members := region(3)
+	exchangeReports(members, epoch, nil)
+	last := members[2]
+	members[0].revision = 5
+	exchangeReports(members, epoch, nil)
+	is.Equal(last.table.Suppliers(epoch), []netip.Addr{addr(0, 1)})
+	is.True(!last.table.Watches(epoch))
+	now := epoch.Add(behindGrace + time.Millisecond)
+	exchangeReports(members, now, nil)
+	is.True(last.table.Watches(now))
+	last.revision = 5
+	is.True(!last.table.Watches(now))
+	is.Equal(len(last.table.Suppliers(now)), 0)
+}
+
+// Guards against a directory that nobody confirms and this daemon trusts: all
+// peers are silent, or report an old one.
+func TestDaemonWithAnOldDirectoryWatches(t *testing.T) {
+	is := is.New(t)
+	members := region(3)
+	exchangeReports(members, epoch, nil)
+	members[2].age = maxDirectoryAge + time.Millisecond
+	is.True(members[2].table.Watches(epoch))
+}
+
+// Guards against a zone that is taken for cut off while single daemons of it
+// restart or datagrams are lost, and against one whose cut goes unnoticed for
+// more than a second at today's size.
+func TestSilentZone(t *testing.T) {
+	is := is.New(t)
+	members := region(3, 3, 2)
+	self := members[0].table
+	is.True(!self.Silent(zoneName(1), epoch)) // nothing was to be heard yet
+	exchangeReports(members, epoch, nil)
+	members[3].dead, members[4].dead = true, true
+	now := epoch.Add(300 * time.Millisecond)
+	exchangeReports(members, now, nil)
+	now = now.Add(300 * time.Millisecond)
+	is.True(!self.Silent(zoneName(1), now)) // one daemon is enough
+	is.True(self.Silent(zoneName(1), now.Add(time.Second)))
+	is.True(!self.Silent(zoneName(0), now.Add(time.Minute))) // the own zone
+	exchangeReports(members, now.Add(time.Second), nil)
+	is.True(!self.Silent(zoneName(1), now.Add(time.Second)))
+}
+
+// Guards against reports that arrive late and undo newer ones, and against a
+// restarted daemon whose reports are taken for old.
+func TestOldReportsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	table := region(2)[0].table
+	from := addr(0, 2)
+	is.True(table.Heard(from, Report{Zone: zoneName(0), Start: 1, Sequence: 2}, epoch))
+	is.True(!table.Heard(from, Report{Zone: zoneName(0), Start: 1, Sequence: 1}, epoch))
+	is.True(!table.Heard(from, Report{Zone: zoneName(0), Start: 1, Sequence: 2}, epoch))
+	is.True(table.Heard(from, Report{Zone: zoneName(0), Start: 2, Sequence: 1}, epoch))
+	is.True(!table.Heard(from, Report{Zone: zoneName(0), Start: 1, Sequence: 9}, epoch))
+}
+
+// Guards against reports of strangers, and against a daemon that finds nobody
+// because it has no directory yet.
+func TestAdmittedAddresses(t *testing.T) {
+	is := is.New(t)
+	seed := addr(1, 1)
+	table := NewTable(TableOptions{
+		Self: addr(0, 1), Zone: zoneName(0), Seeds: []netip.Addr{addr(0, 1), seed}, MaxAge: maxDirectoryAge,
+		Own: func(time.Time) (uint64, time.Duration) { return 0, time.Hour },
+	})
+	is.True(table.Admits(seed))
+	is.True(!table.Admits(addr(3, 3)))
+	is.Equal(table.Suppliers(epoch), []netip.Addr{seed})
+	is.Equal(table.OtherPeers(), []netip.Addr{seed})
+	table.SetSeeds(nil)
+	is.True(!table.Admits(seed))
+}
+
+// Guards against control traffic that grows with the fleet: at the target size
+// a daemon sends at most 25 KB a second, with 100 bytes a report.
+func TestReportRateIsBounded(t *testing.T) {
+	is := is.New(t)
+	members := region(65, 65, 65, 65)
+	peers, least, most := members[0].table.ZonePeers()
+	is.Equal(len(peers), 64)
+	perSecond := float64(len(peers))/least.Seconds() + crossZoneBatch/crossZoneInterval.Seconds()
+	is.True(perSecond*100 <= 25_000)
+	is.True(most >= least)
+}
+
+// Guards against messages of strangers that end the daemon or are half read.
+func FuzzDecodeReport(f *testing.F) {
+	b, err := encodeReport(Report{VM: "a", Zone: "z", Start: 1, Working: map[directory.Cookie]int{1: 2}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := decodeReport(b)
+		if err == nil && (r.VM == "" || r.Zone == "" || r.Start == 0 || r.Age < 0) {
+			t.Fatalf("report %+v was accepted", r)
+		}
+	})
+}
+
+// Guards against a report that is larger than a packet of the network, and
+// against fields that are lost.
+func TestReportsFitIntoOnePacket(t *testing.T) {
+	is := is.New(t)
+	r := Report{VM: "front-cartago-norte-10", Zone: "cartago-norte", Start: 1 << 60, Sequence: 1 << 40, Revision: 1 << 40,
+		Age: time.Hour, Watching: true, Working: map[directory.Cookie]int{}}
+	for i := range 1000 {
+		r.Working[directory.Cookie(1<<31+i)] = 100
+	}
+	b, err := encodeReport(r)
+	is.NoErr(err)
+	is.True(len(b) <= maxReport)
+	got, err := decodeReport(b)
+	is.NoErr(err)
+	is.Equal(len(got.Working), maxServers)
+	got.Working, r.Working = nil, nil
+	is.Equal(got, r)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -39,6 +39,7 @@
 	zone string
 
 	mu      sync.Mutex
+	random  *rand.Rand
 	servers map[directory.Cookie]*server
 	zones   map[string]*silence
 	work    map[string]time.Duration // by route
@@ -64,10 +65,11 @@
 	silence
 }
 
-// New returns a Placer for a daemon in a zone.
-func New(zone string) *Placer {
+// New returns a Placer for a daemon in a zone. The seed determines how ties are
+// broken; daemons need different ones.
+func New(zone string, seed uint64) *Placer {
 	return &Placer{
-		zone: zone, servers: map[directory.Cookie]*server{}, zones: map[string]*silence{},
+		zone: zone, random: rand.New(rand.NewPCG(seed, 0)), servers: map[directory.Cookie]*server{}, zones: map[string]*silence{},
 		work: map[string]time.Duration{}, peers: map[string]*peerLoad{}, cutOff: map[string]bool{},
 		onChange: func() {}, onBelief: func(Belief) {}, unreachable: func(string, time.Time) bool { return false },
 	}
@@ -105,7 +107,7 @@
 			best, bestCost, ties = s, cost, 1
 		case cost == bestCost:
 			ties++
-			if rand.IntN(ties) == 0 {
+			if p.random.IntN(ties) == 0 {
 				best = s
 			}
 		}
