--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -33,7 +33,9 @@
 	leaseGone bool
 }
 
-func newFakeStore() *fakeStore { return &fakeStore{changed: make(chan struct{}), puts: map[string][]byte{}} }
+func newFakeStore() *fakeStore {
+	return &fakeStore{changed: make(chan struct{}), puts: map[string][]byte{}}
+}
 
 func (s *fakeStore) put(key, value string) {
 	s.mu.Lock()
