Share suspicion, start from a seed's directory and keep the earlier registration

Change: reports name suspected servers, which count unless this daemon has heard the server within 1 s; a starting daemon asks one seed first; the registration of an earlier process is kept with its lease.

--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -219,7 +219,7 @@
 		return
 	}
 	e.metrics.Observe(metrics.FlowAccepted, now.Sub(f.openedAt))
-	e.placer.Heard(f.ticket)
+	e.placer.Heard(f.ticket, now)
 }
 
 // observe follows the request and the response in the caller's packets.
--- a/internal/cookie/engine_test.go
+++ b/internal/cookie/engine_test.go
@@ -225,7 +225,7 @@
 func TestAccountsEndWithTheirFlows(t *testing.T) {
 	working := func(w *world) int {
 		n := 0
-		for _, k := range w.engine.placer.Working() {
+		for _, k := range w.engine.placer.Load(w.now).Working {
 			n += k
 		}
 		return n
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -122,6 +122,8 @@
 type VM struct {
 	Name, Zone string
 	Addr       netip.Addr
+	// Lease is what the registration vanishes with.
+	Lease uint64
 }
 
 // VMs returns the registered daemons by address. The caller must not change
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -78,6 +78,7 @@
 	d := &Daemon{options: o, placer: placement.New(o.Settings.Zone, rand.Uint64())}
 	d.follower = registry.NewFollower(registry.Options{
 		Source: o.Source, Decoder: o.Decoder, Log: o.Log, Metrics: o.Metrics, Watch: watch,
+		Prefetch: func(ctx context.Context) bool { return d.exchange.Prefetch(ctx) },
 	})
 	d.engine = cookie.NewEngine(o.Codec, d.follower, d.placer, o.Metrics, o.Log)
 	d.table = exchange.NewTable(exchange.TableOptions{
--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -208,8 +208,7 @@
 	is.Equal(answer, b.ID+" hello")
 	requests, forged, strays := b.Counts()
 	is.Equal([]int{requests, forged, strays}, []int{1, 0, 0})
-	_, registered := s.store.Item("knapweedshore/vms/" + d.settings.Peer.Addr().String())
-	is.True(registered)
+	s.await("registration", 2*time.Second, func() bool { return s.registered(d) })
 }
 
 // Guards against flows that depend on the daemon that placed them: every packet
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -52,6 +52,7 @@
 	DirectoryApplied = Event{Number: 320, Level: info, Message: "directory applied", Action: "none"}
 	ItemRefused      = Event{Number: 321, Level: warn, Message: "store item refused", Action: "find the writer of the item"}
 	WatchDuty        = Event{Number: 322, Level: info, Message: "duty to watch the store has changed", Action: "none"}
+	PeersHelpedStart = Event{Number: 324, Level: info, Message: "directory taken from a peer at the start", Action: "none"}
 
 	RegistrationFailed = Event{Number: 323, Level: warn, Message: "registration in the store failed", Action: "check the platform store"}
 )
@@ -82,7 +83,7 @@
 		LinesDropped, Reloaded, ReloadRefused, Ready,
 		MemberJoined, MemberLeaving, MemberSuspected, MemberDied, MemberRefuted, LinkOpened, LinkLost, PeerRefused,
 		TablesApplied, TablesRegressed, TablesInvalid, TablesOld, FetchFailed, StoreDown, StoreBack,
-		DirectoryApplied, ItemRefused, WatchDuty, RegistrationFailed,
+		DirectoryApplied, ItemRefused, WatchDuty, RegistrationFailed, PeersHelpedStart,
 		ServerEjected, ServerReinstated, EjectionFloor, SilentFlow, FlowTableFull, NewFlowLimited, BackupChanged,
 		FlowPlaced, FlowRefused, FlowUnanswered, ServerSuspected, ServerAnswers, ZoneUnreachable, ZoneReachable,
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -43,7 +43,10 @@
 	// changed asks for a report, news for a fetch.
 	changed chan struct{}
 	news    chan struct{}
-	refused atomic.Int64 // Unix seconds of the last logged refusal
+	// complete is filled while a complete directory is sent. One at a time leaves
+	// the link and the processor to the callers' packets.
+	complete chan struct{}
+	refused  atomic.Int64 // Unix seconds of the last logged refusal
 }
 
 // New opens the sockets. Call Run next.
@@ -60,6 +63,7 @@
 	return &Exchange{
 		options: o, start: uint64(time.Now().UnixNano()), reports: reports, listener: listener,
 		changed: make(chan struct{}, 1), news: make(chan struct{}, 1),
+		complete: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -101,7 +105,7 @@
 	return encodeReport(Report{
 		VM: e.options.VM, Zone: e.options.Zone, Start: e.start, Sequence: e.sequence.Add(1),
 		Revision: f.Revision(), Age: min(maxAge, f.Age(now)), Watching: f.Watching(), Leaving: e.leaving.Load(),
-		Working: e.options.Placer.Working(),
+		Load: e.options.Placer.Load(now),
 	})
 }
 
@@ -184,7 +188,7 @@
 	if !e.options.Table.Heard(from, r, now) {
 		return
 	}
-	e.options.Placer.Report(from.String(), r.Working, now)
+	e.options.Placer.Report(from.String(), r.Load, now)
 	e.options.Follower.Confirm(r.Revision, now.Add(-r.Age))
 	if r.Revision > e.options.Follower.Revision() {
 		signal(e.news)
--- a/internal/exchange/fetch.go
+++ b/internal/exchange/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
@@ -30,8 +31,11 @@
 	// emptyDelay is how long a daemon without a directory waits for the store
 	// before it asks peers, and then between two rounds.
 	emptyDelay = 300 * time.Millisecond
-	// fetchRetry is the pause after a round in which no peer had the news.
-	fetchRetry = 100 * time.Millisecond
+	// prefetchDial and prefetchTimeout bound what a starting daemon waits for a
+	// seed before it asks the store. When all machines come back together, each
+	// millisecond without a directory costs opening packets.
+	prefetchDial    = 10 * time.Millisecond
+	prefetchTimeout = 50 * time.Millisecond
 	// acceptRetry is the pause after a failed accept or read, which is most
 	// likely a lack of file descriptors.
 	acceptRetry = 100 * time.Millisecond
@@ -86,15 +90,10 @@
 func (e *Exchange) call(ctx context.Context, connections map[netip.Addr]*drpcconn.Conn, from netip.Addr) error {
 	conn := connections[from]
 	if conn == nil {
-		// Peers know a daemon by its address.
-		dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: e.options.Address.Addr().AsSlice()}}
-		raw, err := dialer.DialContext(ctx, "tcp4", netip.AddrPortFrom(from, e.options.Address.Port()).String())
-		if err != nil {
-			return errors.Wrap(err, "connect")
+		var err error
+		if conn, err = e.connect(ctx, from, dialTimeout); err != nil {
+			return err
 		}
-		conn = drpcconn.NewWithOptions(raw, drpcconn.Options{
-			Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxResponse}},
-		})
 		connections[from] = conn
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -105,10 +104,58 @@
 	if err != nil {
 		return errors.Wrap(err, "fetch items")
 	}
-	e.options.Follower.Offer(decodeReading(response, time.Now()), from.String())
+	e.take(response, from)
 	return nil
 }
 
+func (e *Exchange) connect(ctx context.Context, to netip.Addr, timeout time.Duration) (*drpcconn.Conn, error) {
+	// Peers know a daemon by its address.
+	dialer := net.Dialer{Timeout: timeout, LocalAddr: &net.TCPAddr{IP: e.options.Address.Addr().AsSlice()}}
+	raw, err := dialer.DialContext(ctx, "tcp4", netip.AddrPortFrom(to, e.options.Address.Port()).String())
+	if err != nil {
+		return nil, errors.Wrap(err, "connect")
+	}
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{
+		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxResponse}},
+	}), nil
+}
+
+func (e *Exchange) take(response *peerapi.FetchItemsResponse, from netip.Addr) {
+	now := time.Now()
+	e.options.Follower.Offer(decodeReading(response, now), from.String())
+	e.options.Follower.Confirm(response.Revision, now.Add(-milliseconds(response.ReadingAgeMs)))
+}
+
+// Prefetch asks one seed for a complete directory when the daemon starts, which
+// saves the calls of a listing. It reports whether the seed had a directory that
+// is new enough. A seed that is down costs prefetchDial, one that is busy or not
+// ready refuses at once.
+func (e *Exchange) Prefetch(ctx context.Context) bool {
+	seeds := e.options.Table.Suppliers(time.Now())
+	if len(seeds) == 0 {
+		return false
+	}
+	seed := seeds[rand.IntN(len(seeds))]
+	conn, err := e.connect(ctx, seed, prefetchDial)
+	if err != nil {
+		e.options.Metrics.Retried(metrics.LinkDial)
+		return false
+	}
+	defer func() { _ = conn.Close() }() // the answer has been read or given up
+	ctx, cancel := context.WithTimeout(ctx, prefetchTimeout)
+	defer cancel()
+	response, err := peerapi.NewDRPCDirectoryClient(conn).FetchItems(ctx, &peerapi.FetchItemsRequest{})
+	if err != nil {
+		e.options.Metrics.Retried(metrics.LinkBroken)
+		return false
+	}
+	if response.Revision == 0 || milliseconds(response.ReadingAgeMs) > e.options.Table.MaxAge() {
+		return false
+	}
+	e.take(response, seed)
+	return e.options.Follower.Current() != nil
+}
+
 // serve answers the peers until the listener is closed.
 func (e *Exchange) serve(ctx context.Context) {
 	mux := drpcmux.New()
@@ -144,5 +191,15 @@
 
 // FetchItems implements peerapi.DRPCDirectoryServer.
 func (s directoryServer) FetchItems(_ context.Context, r *peerapi.FetchItemsRequest) (*peerapi.FetchItemsResponse, error) {
-	return encodeReading(s.exchange.options.Follower.Since(r.HaveRevision), time.Now()), nil
+	now := time.Now()
+	reading := s.exchange.options.Follower.Since(r.HaveRevision)
+	if reading.Complete {
+		select {
+		case s.exchange.complete <- struct{}{}:
+			defer func() { <-s.exchange.complete }()
+		default:
+			return nil, errors.New("another daemon is being sent a complete directory")
+		}
+	}
+	return encodeReading(reading, s.exchange.options.Follower.Age(now), now), nil
 }
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"knapweedshore.example/internal/directory"
+	"knapweedshore.example/internal/placement"
 	"knapweedshore.example/internal/registry"
 	"knapweedshore.example/peerapi"
 )
@@ -14,8 +15,9 @@
 // maxReport bounds a datagram: what fits into one packet of the network. A
 // daemon that works with more servers than fit leaves out some.
 const (
-	maxReport  = 1400
-	maxServers = 120
+	maxReport    = 1400
+	maxServers   = 100
+	maxSuspected = 40
 )
 
 func encodeReport(r Report) ([]byte, error) {
@@ -23,12 +25,15 @@
 		Vm: r.VM, Zone: r.Zone, Start: r.Start, Sequence: r.Sequence, Revision: r.Revision,
 		AgeMs: uint64(r.Age.Milliseconds()), Watching: r.Watching, Leaving: r.Leaving,
 	}
-	for c, n := range r.Working {
+	for c, n := range r.Load.Working {
 		if len(m.Working) == maxServers {
 			break
 		}
 		m.Working = append(m.Working, &peerapi.ServerLoad{Cookie: uint32(c), Requests: uint32(n)})
 	}
+	for _, c := range r.Load.Suspected[:min(maxSuspected, len(r.Load.Suspected))] {
+		m.Suspected = append(m.Suspected, uint32(c))
+	}
 	b, err := proto.Marshal(m)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode report")
@@ -50,10 +55,13 @@
 	r := Report{
 		VM: m.Vm, Zone: m.Zone, Start: m.Start, Sequence: m.Sequence, Revision: m.Revision,
 		Age: milliseconds(m.AgeMs), Watching: m.Watching, Leaving: m.Leaving,
-		Working: make(map[directory.Cookie]int, len(m.Working)),
+		Load: placement.Load{Working: make(map[directory.Cookie]int, len(m.Working))},
 	}
 	for _, w := range m.Working {
-		r.Working[directory.Cookie(w.Cookie)] = int(min(w.Requests, maxRequests))
+		r.Load.Working[directory.Cookie(w.Cookie)] = int(min(w.Requests, maxRequests))
+	}
+	for _, c := range m.Suspected {
+		r.Load.Suspected = append(r.Load.Suspected, directory.Cookie(c))
 	}
 	return r, nil
 }
@@ -65,11 +73,13 @@
 	return time.Duration(min(ms, uint64(maxAge.Milliseconds()))) * time.Millisecond
 }
 
-func encodeReading(r registry.Reading, now time.Time) *peerapi.FetchItemsResponse {
-	m := &peerapi.FetchItemsResponse{Revision: r.Revision, Complete: r.Complete}
+func encodeReading(r registry.Reading, age time.Duration, now time.Time) *peerapi.FetchItemsResponse {
+	m := &peerapi.FetchItemsResponse{
+		Revision: r.Revision, Complete: r.Complete, ReadingAgeMs: uint64(min(maxAge, age).Milliseconds()),
+	}
 	for _, i := range r.Items {
 		m.Items = append(m.Items, &peerapi.Item{
-			Key: i.Key, Value: i.Value, Revision: i.Revision, Created: i.Created, Deleted: i.Deleted,
+			Key: i.Key, Value: i.Value, Revision: i.Revision, Created: i.Created, Deleted: i.Deleted, Lease: i.Lease,
 			AgeMs: uint64(max(0, now.Sub(i.Read)).Milliseconds()),
 		})
 	}
@@ -80,7 +90,7 @@
 	r := registry.Reading{Revision: m.Revision, Complete: m.Complete}
 	for _, i := range m.Items {
 		r.Items = append(r.Items, registry.Item{
-			Key: i.Key, Value: i.Value, Revision: i.Revision, Created: i.Created, Deleted: i.Deleted,
+			Key: i.Key, Value: i.Value, Revision: i.Revision, Created: i.Created, Deleted: i.Deleted, Lease: i.Lease,
 			Read: now.Add(-milliseconds(i.AgeMs)),
 		})
 	}
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"knapweedshore.example/internal/directory"
+	"knapweedshore.example/internal/placement"
 )
 
 // watchingZones is how many zones have a daemon that watches the store. The
@@ -46,8 +47,8 @@
 	// Age is the time since the revision was confirmed to be the newest.
 	Age               time.Duration
 	Watching, Leaving bool
-	// Working holds the requests in progress that the sender has placed.
-	Working map[directory.Cookie]int
+	// Load is what the sender knows of the servers.
+	Load placement.Load
 }
 
 // peer is another daemon.
@@ -96,6 +97,10 @@
 	}
 }
 
+// MaxAge returns the age of a directory from which on a daemon asks the store
+// itself.
+func (t *Table) MaxAge() time.Duration { return t.maxAge }
+
 // SetSeeds replaces the addresses from the settings.
 func (t *Table) SetSeeds(seeds []netip.Addr) {
 	t.mu.Lock()
--- a/internal/exchange/table_test.go
+++ b/internal/exchange/table_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"knapweedshore.example/internal/directory"
+	"knapweedshore.example/internal/placement"
 )
 
 var epoch = time.Unix(0, 0)
@@ -238,7 +239,9 @@
 
 // Guards against messages of strangers that end the daemon or are half read.
 func FuzzDecodeReport(f *testing.F) {
-	b, err := encodeReport(Report{VM: "a", Zone: "z", Start: 1, Working: map[directory.Cookie]int{1: 2}})
+	b, err := encodeReport(Report{VM: "a", Zone: "z", Start: 1, Load: placement.Load{
+		Working: map[directory.Cookie]int{1: 2}, Suspected: []directory.Cookie{3},
+	}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -256,16 +259,18 @@
 func TestReportsFitIntoOnePacket(t *testing.T) {
 	is := is.New(t)
 	r := Report{VM: "front-cartago-norte-10", Zone: "cartago-norte", Start: 1 << 60, Sequence: 1 << 40, Revision: 1 << 40,
-		Age: time.Hour, Watching: true, Working: map[directory.Cookie]int{}}
+		Age: time.Hour, Watching: true, Load: placement.Load{Working: map[directory.Cookie]int{}}}
 	for i := range 1000 {
-		r.Working[directory.Cookie(1<<31+i)] = 100
+		r.Load.Working[directory.Cookie(1<<31+i)] = 100
+		r.Load.Suspected = append(r.Load.Suspected, directory.Cookie(1<<31+i))
 	}
 	b, err := encodeReport(r)
 	is.NoErr(err)
 	is.True(len(b) <= maxReport)
 	got, err := decodeReport(b)
 	is.NoErr(err)
-	is.Equal(len(got.Working), maxServers)
-	got.Working, r.Working = nil, nil
+	is.Equal(len(got.Load.Working), maxServers)
+	is.Equal(got.Load.Suspected, r.Load.Suspected[:maxSuspected])
+	got.Load, r.Load = placement.Load{}, placement.Load{}
 	is.Equal(got, r)
 }
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -162,7 +162,7 @@
 	}
 	for i, other := range all {
 		if i != self {
-			other.(*placed).placer.Report(fmt.Sprint(self), p.placer.Working(), now)
+			other.(*placed).placer.Report(fmt.Sprint(self), p.placer.Load(now), now)
 		}
 	}
 }
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -6,23 +6,35 @@
 	"knapweedshore.example/internal/directory"
 )
 
-// peerLoadTTL is how long the report of a peer counts. A peer that has gone
-// has no requests in progress, or none that end through it.
-const peerLoadTTL = time.Second
+const (
+	// peerLoadTTL is how long the report of a peer counts. A peer that has gone
+	// has no requests in progress, or none that end through it.
+	peerLoadTTL = time.Second
+	// ownEvidence is how long an answer of a server to this daemon outweighs the
+	// suspicion of a peer, whose own network may be what is broken.
+	ownEvidence = time.Second
+)
+
+// Load is what a daemon knows of the servers and tells its peers.
+type Load struct {
+	// Working are the requests in progress that the daemon has placed.
+	Working map[directory.Cookie]int
+	// Suspected are the servers that do not accept its flows.
+	Suspected []directory.Cookie
+}
 
 // peerLoad is the last report of one peer.
 type peerLoad struct {
-	at      time.Time
-	working map[directory.Cookie]int
+	at time.Time
+	Load
 }
 
-// Report takes over how many requests a peer has in progress at each server.
-func (p *Placer) Report(peer string, working map[directory.Cookie]int, now time.Time) {
+// Report takes over what a peer knows of the servers.
+func (p *Placer) Report(peer string, l Load, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	old := p.peers[peer]
-	p.add(old, -1)
-	next := &peerLoad{at: now, working: working}
+	p.add(p.peers[peer], -1)
+	next := &peerLoad{at: now, Load: l}
 	p.peers[peer] = next
 	p.add(next, 1)
 }
@@ -31,10 +43,14 @@
 	if l == nil {
 		return
 	}
-	for c, n := range l.working {
+	for c, n := range l.Working {
 		rec := p.server(c)
 		rec.remote = max(0, rec.remote+sign*n)
 	}
+	for _, c := range l.Suspected {
+		rec := p.server(c)
+		rec.suspectedBy = max(0, rec.suspectedBy+sign)
+	}
 }
 
 // ExpirePeers drops the reports of peers that have fallen silent.
@@ -49,16 +65,18 @@
 	}
 }
 
-// Working returns the requests in progress that this daemon has placed, by
-// server.
-func (p *Placer) Working() map[directory.Cookie]int {
+// Load returns what to tell the peers.
+func (p *Placer) Load(now time.Time) Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := map[directory.Cookie]int{}
+	l := Load{Working: map[directory.Cookie]int{}}
 	for c, rec := range p.servers {
 		if rec.working > 0 {
-			out[c] = rec.working
+			l.Working[c] = rec.working
+		}
+		if now.Before(rec.until) {
+			l.Suspected = append(l.Suspected, c)
 		}
 	}
-	return out
+	return l
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -58,6 +58,10 @@
 	working int
 	// remote are those of the peers.
 	remote int
+	// suspectedBy is how many peers suspect the server, heard when it last
+	// accepted a flow of this daemon.
+	suspectedBy int
+	heard       time.Time
 	// slowness multiplies the work of a route.
 	slowness float64
 	// started tells whether the server is still the process that was learned.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -42,16 +42,16 @@
 func TestReportsOfPeersCount(t *testing.T) {
 	is := is.New(t)
 	p, servers := New("a", 1), twoServers()
-	p.Report("peer", map[directory.Cookie]int{1: 3}, epoch)
+	p.Report("peer", Load{Working: map[directory.Cookie]int{1: 3}}, epoch)
 	name, ticket := choose(p, servers, 0, epoch)
 	is.Equal(name, "far")
 	p.Abandon(ticket)
-	p.Report("peer", map[directory.Cookie]int{}, epoch)
+	p.Report("peer", Load{}, epoch)
 	name, ticket = choose(p, servers, 0, epoch)
 	is.Equal(name, "near")
 	p.Abandon(ticket)
 
-	p.Report("peer", map[directory.Cookie]int{1: 3}, epoch)
+	p.Report("peer", Load{Working: map[directory.Cookie]int{1: 3}}, epoch)
 	p.ExpirePeers(epoch.Add(peerLoadTTL + time.Millisecond))
 	name, _ = choose(p, servers, 0, epoch)
 	is.Equal(name, "near")
@@ -89,7 +89,7 @@
 	choose(p, servers, 0, now)
 	is.Equal(beliefs[1].For, 2*firstSuspicion)
 
-	p.Heard(trial)
+	p.Heard(trial, now)
 	is.Equal(beliefs[2], Belief{Server: 1})
 	name, _ = choose(p, twoServers(), 0, now)
 	is.True(name != "")
@@ -132,7 +132,7 @@
 	servers := []*directory.Server{{Name: "s", Cookie: 1, Zone: "a", Slots: 2, ColdFor: time.Second, Seen: epoch}}
 	_, ticket := choose(p, servers, 0, epoch)
 	is.Equal(ticket.Expected(), time.Duration(coldSlowness*float64(initialWork)))
-	p.Heard(ticket)
+	p.Heard(ticket, epoch)
 	p.Abandon(ticket)
 	_, ticket = choose(p, servers, 0, epoch.Add(time.Second))
 	is.Equal(ticket.Expected(), initialWork)
@@ -156,10 +156,38 @@
 	p.Done(ticket, epoch.Add(time.Millisecond))
 	p.Done(ticket, epoch.Add(time.Millisecond))
 	p.Abandon(ticket)
-	is.Equal(len(p.Working()), 0)
+	is.Equal(len(p.Load(epoch).Working), 0)
 
 	_, ticket = choose(p, servers, 0, epoch)
 	p.Keep(directory.NewBuilder().Build())
 	p.Done(ticket, epoch)
-	is.Equal(len(p.Working()), 0)
+	is.Equal(len(p.Load(epoch).Working), 0)
+}
+
+// Guards against a dead server that each daemon has to find out about by itself,
+// and against a peer whose broken network puts servers out of use that this
+// daemon knows to answer.
+func TestSuspicionOfPeers(t *testing.T) {
+	is := is.New(t)
+	p, servers := New("a", 1), twoServers()
+	// placed opens a flow that the server accepts, unless it is not to be heard.
+	placed := func(now time.Time) string {
+		name, ticket := choose(p, servers, 0, now)
+		if name == "far" {
+			p.Heard(ticket, now)
+		}
+		p.Abandon(ticket)
+		return name
+	}
+	p.Report("peer", Load{Suspected: []directory.Cookie{1}}, epoch)
+	is.Equal(placed(epoch), "far")
+
+	_, ticket := choose(p, servers[:1], 0, epoch)
+	p.Heard(ticket, epoch)
+	p.Abandon(ticket)
+	is.Equal(placed(epoch.Add(ownEvidence)), "near")
+	is.Equal(placed(epoch.Add(ownEvidence+time.Millisecond)), "far")
+
+	p.Report("peer", Load{}, epoch)
+	is.Equal(placed(epoch.Add(ownEvidence+2*time.Millisecond)), "near")
 }
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -45,7 +45,7 @@
 	if began {
 		p.onBelief(Belief{Server: c, Avoided: true, For: rec.lasting})
 	}
-	return avoided
+	return avoided || rec.suspectedBy > 0 && now.Sub(rec.heard) > ownEvidence
 }
 
 func (p *Placer) zoneAvoided(zone string, now time.Time) bool {
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -65,22 +65,24 @@
 	if t.asked.IsZero() {
 		t.asked = now
 	}
-	p.heard(t)
+	p.heard(t, now)
 }
 
 // Heard notes a packet which shows that the server has answered.
-func (p *Placer) Heard(t *Ticket) {
+func (p *Placer) Heard(t *Ticket, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.heard(t)
+	p.heard(t, now)
 }
 
-func (p *Placer) heard(t *Ticket) {
+func (p *Placer) heard(t *Ticket, now time.Time) {
 	if t.answered {
 		return
 	}
 	t.answered = true
-	if p.server(t.server).answer() {
+	rec := p.server(t.server)
+	rec.heard = now
+	if rec.answer() {
 		p.onBelief(Belief{Server: t.server})
 	}
 	if t.zone != p.zone && p.zoneSilence(t.zone).answer() {
@@ -95,7 +97,7 @@
 	if t.closed {
 		return
 	}
-	p.heard(t)
+	p.heard(t, now)
 	p.close(t)
 	if !t.asked.IsZero() {
 		p.learn(t, now.Sub(t.asked))
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -50,6 +50,7 @@
 	metrics *metrics.Registry
 
 	watchTimes WatchTimes
+	prefetch   func(ctx context.Context) bool
 
 	// current and revision are read without the lock: listeners of a change, which
 	// run under it, have locks of their own.
@@ -76,6 +77,9 @@
 	Metrics *metrics.Registry
 	// Watch bounds the silence of a watch.
 	Watch WatchTimes
+	// Prefetch, if set, asks the peers for a complete directory before the store
+	// is asked, and reports whether it was offered.
+	Prefetch func(ctx context.Context) bool
 }
 
 // WatchTimes bound the silence of a watch.
@@ -98,8 +102,11 @@
 
 // NewFollower returns a follower that has read nothing yet.
 func NewFollower(o Options) *Follower {
+	if o.Prefetch == nil {
+		o.Prefetch = func(context.Context) bool { return false }
+	}
 	return &Follower{
-		epoch: time.Now(), watchTimes: o.Watch, source: o.Source, decoder: o.Decoder, log: o.Log, metrics: o.Metrics,
+		epoch: time.Now(), watchTimes: o.Watch, prefetch: o.Prefetch, source: o.Source, decoder: o.Decoder, log: o.Log, metrics: o.Metrics,
 		state: NewState(), builder: directory.NewBuilder(),
 	}
 }
@@ -153,6 +160,9 @@
 // Run follows the store until ctx ends, as far as it is this daemon's duty.
 func (f *Follower) Run(ctx context.Context, duty Duty) {
 	go f.expire(ctx)
+	if f.prefetch(ctx) {
+		f.log.Log(events.PeersHelpedStart, zap.Uint64("revision", f.Revision()))
+	}
 	relist := false
 	failures := 0
 	for ctx.Err() == nil {
--- a/internal/registry/register.go
+++ b/internal/registry/register.go
@@ -26,6 +26,9 @@
 	// registerRetry is the pause after a failed call. Traffic does not depend
 	// on the registration.
 	registerRetry = 3 * time.Second
+	// directoryPoll is how often a starting daemon looks for its directory, which
+	// may hold an earlier registration.
+	directoryPoll = 50 * time.Millisecond
 	// lostInterval is how often the daemon looks for its own registration in the
 	// directory: the store may take the keys of a machine away unnoticed.
 	lostInterval = 2 * time.Second
@@ -42,8 +45,17 @@
 }
 
 // Run keeps the entry until ctx ends. The entry of a daemon that ends stays
-// until its lease ends, because most are started again.
+// until its lease ends, because most are started again; the next process of the
+// VM goes on with it.
 func (r *Registration) Run(ctx context.Context) {
+	for r.Follower.Current() == nil {
+		if !wait.For(ctx, directoryPoll) {
+			return
+		}
+	}
+	if lease, ok := r.earlier(); ok {
+		r.hold(ctx, lease)
+	}
 	for ctx.Err() == nil {
 		lease, err := r.register(ctx)
 		if err != nil {
@@ -58,6 +70,16 @@
 	}
 }
 
+// earlier returns the lease of the entry that an earlier process of this VM has
+// written.
+func (r *Registration) earlier() (lease uint64, ok bool) {
+	vm := r.Follower.Current().VMs()[r.VM.Addr]
+	if vm == nil || vm.Lease == 0 || vm.Name != r.VM.Name || vm.Zone != r.VM.Zone {
+		return 0, false
+	}
+	return vm.Lease, true
+}
+
 func (r *Registration) register(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -30,7 +30,9 @@
 	Key               string
 	Value             []byte
 	Revision, Created uint64
-	Deleted           bool
+	// Lease is what the item vanishes with; zero if it stays.
+	Lease   uint64
+	Deleted bool
 	// Read is when a daemon read the item from the store.
 	Read time.Time
 }
--- a/internal/registry/vm.go
+++ b/internal/registry/vm.go
@@ -44,6 +44,6 @@
 		c.Problem = errors.Wrapf(err, "registration %q", i.Key)
 		return c, true
 	}
-	c.VM = &directory.VM{Name: r.Name, Zone: r.Zone, Addr: addr}
+	c.VM = &directory.VM{Name: r.Name, Zone: r.Zone, Addr: addr, Lease: i.Lease}
 	return c, true
 }
