--- a/cmd/knapweedshored/app.go
+++ b/cmd/knapweedshored/app.go
@@ -16,6 +16,7 @@
 Examples:
   knapweedshored check-config --config /etc/knapweedshore/vm.ini
   knapweedshored run --config /etc/knapweedshore/vm.ini
+  knapweedshored entry --config /etc/knapweedshore/entry.ini
   knapweedshored dev
   knapweedshored dev --site quesada --seed 7 --output json
   knapweedshored bench --site quesada --setting steady
--- a/cmd/knapweedshored/check.go
+++ b/cmd/knapweedshored/check.go
@@ -18,19 +18,31 @@
 		Usage: "check a settings file and the keys it names",
 		Description: `Reads the file as "run" would and reports every problem; opens no socket.
 
-Example:
-  knapweedshored check-config --config /etc/knapweedshore/vm.ini`,
-		Flags:  []cli.Flag{configFlag()},
+Examples:
+  knapweedshored check-config --config /etc/knapweedshore/vm.ini
+  knapweedshored check-config --entry --config /etc/knapweedshore/entry.ini`,
+		Flags:  []cli.Flag{configFlag(), &cli.BoolFlag{Name: "entry", Usage: "check the settings of \"entry\" rather than \"run\""}},
 		Action: withoutArguments(check),
 	}
 }
 
 func check(_ context.Context, cmd *cli.Command) error {
+	if cmd.Bool("entry") {
+		s, err := settings.LoadEntry(cmd.String("config"))
+		if err != nil {
+			return err
+		}
+		return reportGood(cmd, s.Name, s.Region, s.Zone)
+	}
 	s, _, err := loadConfig(cmd.String("config"))
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(cmd.Root().Writer, "settings of VM %q in region %q, zone %q are good\n", s.Name, s.Region, s.Zone)
+	return reportGood(cmd, s.Name, s.Region, s.Zone)
+}
+
+func reportGood(cmd *cli.Command, name, region, zone string) error {
+	_, err := fmt.Fprintf(cmd.Root().Writer, "settings of VM %q in region %q, zone %q are good\n", name, region, zone)
 	return err
 }
 
--- a/cmd/knapweedshored/docs_test.go
+++ b/cmd/knapweedshored/docs_test.go
@@ -40,7 +40,7 @@
 // without an alert.
 func TestAlertsNameEvents(t *testing.T) {
 	is := is.New(t)
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	is.NoErr(err)
 	_, section, found := strings.Cut(string(page), "## Alerts\n")
 	is.True(found)
--- a/internal/settings/reference_test.go
+++ b/internal/settings/reference_test.go
@@ -9,11 +9,11 @@
 	"github.com/matryer/is"
 )
 
-// reference is the table of the settings reference.
-func reference() string {
+// reference is the table of a settings reference.
+func reference(keys []Key) string {
 	var b strings.Builder
 	b.WriteString("| section | key | default | meaning |\n|---|---|---|---|\n")
-	for _, k := range Keys() {
+	for _, k := range keys {
 		value := "none"
 		switch {
 		case k.Required:
@@ -27,33 +27,39 @@
 }
 
 // Guards against a settings reference that lacks a key or states another
-// default than the code. The table of the page is what this test expects.
+// default than the code. The tables of the page are what this test expects.
 func TestReferenceListsTheKeysOfTheCode(t *testing.T) {
-	is := is.New(t)
-	page, err := os.ReadFile("../../docs/operations.md")
-	is.NoErr(err)
-	_, section, found := strings.Cut(string(page), "## Settings reference\n")
-	is.True(found)
-	section, _, _ = strings.Cut(section, "\n## ")
-	var table strings.Builder
-	for line := range strings.Lines(section) {
-		if strings.HasPrefix(line, "|") {
-			table.WriteString(line)
-		}
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
 	}
-	if want := reference(); table.String() != want {
-		t.Fatalf("docs/operations.md has\n%s\nwant\n%s", table.String(), want)
+	for heading, keys := range map[string][]Key{"## Settings reference\n": Keys(), "### Entry settings\n": EntryKeys()} {
+		is := is.New(t)
+		_, section, found := strings.Cut(string(page), heading)
+		is.True(found)
+		section, _, _ = strings.Cut(section, "\n##")
+		var table strings.Builder
+		for line := range strings.Lines(section) {
+			if strings.HasPrefix(line, "|") {
+				table.WriteString(line)
+			}
+		}
+		if want := reference(keys); table.String() != want {
+			t.Errorf("docs/OPERATIONS.md has under %q\n%s\nwant\n%s", heading, table.String(), want)
+		}
 	}
 }
 
 // Guards against keys that hide each other.
 func TestKeysAreDifferent(t *testing.T) {
-	is := is.New(t)
-	seen := map[string]bool{}
-	for _, k := range Keys() {
-		is.True(!seen[k.Section+"."+k.Name])
-		seen[k.Section+"."+k.Name] = true
-		is.True(k.Meaning != "")
-		is.True(!k.Required || k.Default == "")
+	for _, keys := range [][]Key{Keys(), EntryKeys()} {
+		is := is.New(t)
+		seen := map[string]bool{}
+		for _, k := range keys {
+			is.True(!seen[k.Section+"."+k.Name])
+			seen[k.Section+"."+k.Name] = true
+			is.True(k.Meaning != "")
+			is.True(!k.Required || k.Default == "")
+		}
 	}
 }
