Show the product as the operators run it: dev on the carrier with cookies

On the operators' carrier the cookie names the server.

A second signal ends an entry daemon at once.

--- a/cmd/knapweedshored/dev.go
+++ b/cmd/knapweedshored/dev.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"knapweedshore.example/cmd/usage"
+	"knapweedshore.example/standin/entrysite"
 	"knapweedshore.example/standin/site"
 )
 
@@ -21,6 +22,9 @@
 	outputJSON = "json"
 
 	minDevDuration = 5 * time.Second
+
+	carrierCookie = "cookie"
+	carrierGeneve = "geneve"
 )
 
 // errPromiseBroken makes dev fail after its summary was written.
@@ -30,17 +34,19 @@
 	return &cli.Command{
 		Name:  "dev",
 		Usage: "run a whole site in this process and judge it",
-		Description: `Starts callers, a fabric, balancers and backend servers on loopback addresses,
+		Description: `Starts callers, routers, daemons and backend servers on loopback addresses,
 makes planned changes and a crash under traffic, and reports what the callers
 experienced. Progress goes to standard error, the summary to standard output.
-Fails when a promise was broken.
+Fails when a promise was broken. The carrier is the users' platform's, with
+cookies, or Geneve, on which each flow has an owner; only the latter has sites.
 
 Examples:
   knapweedshored dev
-  knapweedshored dev --site sullam --duration 30s
-  knapweedshored dev --seed 7 --output json > summary.json`,
+  knapweedshored dev --seed 7 --output json > summary.json
+  knapweedshored dev --carrier geneve --site sullam --duration 30s`,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "site", Value: "dev", Usage: "`NAME` of the site: dev, quesada or sullam"},
+			&cli.StringFlag{Name: "carrier", Value: carrierCookie, Usage: "`NAME` of the carrier: cookie or geneve"},
+			&cli.StringFlag{Name: "site", Value: "dev", Usage: "`NAME` of the site on Geneve: dev, quesada or sullam"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`NUMBER` that determines flows, changes and the fabric's choices"},
 			&cli.DurationFlag{Name: "duration", Value: site.DefaultDuration, Usage: "open flows for `TIME`"},
 			&cli.BoolFlag{Name: "still", Usage: "make no changes and no crash"},
@@ -57,9 +63,13 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	summary, err := site.Run(ctx, config, func(line string) {
-		fmt.Fprintln(cmd.Root().ErrWriter, line)
-	})
+	progress := func(line string) { fmt.Fprintln(cmd.Root().ErrWriter, line) }
+	var summary devSummary
+	if cmd.String("carrier") == carrierCookie {
+		summary, err = entrysite.Run(ctx, entrysite.Config{Seed: config.Seed, Duration: config.Duration, Still: config.Still}, progress)
+	} else {
+		summary, err = site.Run(ctx, config, progress)
+	}
 	if err != nil {
 		return err
 	}
@@ -75,11 +85,21 @@
 	return nil
 }
 
+// devSummary is what a run on either carrier returns.
+type devSummary interface {
+	OK() bool
+	String() string
+	WriteJSON(w io.Writer) error
+}
+
 func devConfig(cmd *cli.Command) (site.Config, error) {
 	description, ok := site.Reference(cmd.String("site"))
 	if !ok {
 		return site.Config{}, usage.Errorf("--site is %q, want dev, quesada or sullam", cmd.String("site"))
 	}
+	if c := cmd.String("carrier"); c != carrierCookie && c != carrierGeneve {
+		return site.Config{}, usage.Errorf("--carrier is %q, want %s or %s", c, carrierCookie, carrierGeneve)
+	}
 	if o := cmd.String("output"); o != outputText && o != outputJSON {
 		return site.Config{}, usage.Errorf("--output is %q, want %s or %s", o, outputText, outputJSON)
 	}
@@ -90,7 +110,7 @@
 	return site.Config{Site: description, Seed: cmd.Uint64("seed"), Duration: duration, Still: cmd.Bool("still")}, nil
 }
 
-func writeSummary(w io.Writer, s *site.Summary, format string) error {
+func writeSummary(w io.Writer, s devSummary, format string) error {
 	if format == outputJSON {
 		return s.WriteJSON(w)
 	}
--- a/cmd/knapweedshored/entry.go
+++ b/cmd/knapweedshored/entry.go
@@ -24,9 +24,10 @@
 		Name:  "entry",
 		Usage: "run the daemon behind a carrier with cookies",
 		Description: `Runs until it gets SIGTERM or SIGINT. It is then not ready any more and goes on
-forwarding until no packets arrive, for part of the grace period at most. SIGHUP
-reads the settings again, as does a change of the file. The log goes to standard
-output, one JSON object a line. docs/platform.md describes the platform.
+forwarding until no packets arrive, for part of the grace period at most; a second
+signal ends it at once. SIGHUP reads the settings again, as does a change
+of the file. The log goes to standard output, one JSON object a line.
+docs/platform.md describes the platform.
 
 Example:
   knapweedshored entry --config /etc/knapweedshore/entry.ini`,
@@ -72,8 +73,17 @@
 	}
 	defer serveMetrics(listener, registry, d.Status, log)()
 
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	ending := make(chan os.Signal, 2)
+	signal.Notify(ending, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(ending)
+	go func() {
+		<-ending
+		stop()
+		<-ending
+		d.Kill()
+	}()
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +68,8 @@
 	table    *exchange.Table
 	exchange *exchange.Exchange
 	leaving  atomic.Bool
+	killed   chan struct{}
+	kill     sync.Once
 
 	data  *net.UDPConn
 	ready net.Listener
@@ -75,7 +78,7 @@
 // New opens the daemon's sockets. Call Run next.
 func New(o Options) (*Daemon, error) {
 	watch := registry.WatchTimesFor(o.Settings.Recovery)
-	d := &Daemon{options: o, placer: placement.New(o.Settings.Zone, rand.Uint64())}
+	d := &Daemon{options: o, killed: make(chan struct{}), placer: placement.New(o.Settings.Zone, rand.Uint64())}
 	d.follower = registry.NewFollower(registry.Options{
 		Source: o.Source, Decoder: o.Decoder, Log: o.Log, Metrics: o.Metrics, Watch: watch,
 		Prefetch: func(ctx context.Context) bool { return d.exchange.Prefetch(ctx) },
@@ -141,11 +144,14 @@
 			d.options.Log.Log(events.DaemonFailed, zap.String("part", "readiness"), events.Cause(err))
 		}
 	})
-	<-ctx.Done()
-	d.leaving.Store(true)
-	d.exchange.Leave()
-	d.options.Log.Log(events.DaemonLeaving)
-	d.drain(serving)
+	select {
+	case <-ctx.Done():
+		d.leaving.Store(true)
+		d.exchange.Leave()
+		d.options.Log.Log(events.DaemonLeaving)
+		d.drain(serving)
+	case <-d.killed:
+	}
 	stop()
 	_ = server.Close() // the process ends anyway
 	_ = d.data.Close() // ends the forwarding
@@ -163,12 +169,24 @@
 func (d *Daemon) drain(ctx context.Context) {
 	began := time.Now()
 	longest := time.Duration(drainShare * float64(d.options.Settings.Grace))
-	wait.For(ctx, min(drainLeast, longest))
-	for time.Since(began) < longest && d.engine.Quiet(time.Now()) < drainQuiet {
+	for time.Since(began) < longest && !d.wasKilled() &&
+		(time.Since(began) < drainLeast || d.engine.Quiet(time.Now()) < drainQuiet) {
 		wait.For(ctx, drainPoll)
 	}
 }
 
+// Kill ends the daemon at once, as a crash would.
+func (d *Daemon) Kill() { d.kill.Do(func() { close(d.killed) }) }
+
+func (d *Daemon) wasKilled() bool {
+	select {
+	case <-d.killed:
+		return true
+	default:
+		return false
+	}
+}
+
 func (d *Daemon) registration() *registry.Registration {
 	s := d.options.Settings
 	return &registry.Registration{
--- /dev/null
+++ b/standin/entrysite/site.go
@@ -0,0 +1,249 @@
+// Package entrysite runs a whole site of entry daemons in one process: the
+// platform's store, routers, callers and backend servers are stand-ins, the
+// daemons are real. It makes planned changes and a crash under traffic and
+// judges what callers and servers experienced.
+package entrysite
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"knapweedshore.example/internal/entry"
+	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/settings"
+	adapter "knapweedshore.example/platform"
+	"knapweedshore.example/standin/platform"
+)
+
+// Ports that all machines of the site share.
+const (
+	dataPort   = 8172
+	readyPort  = 8167
+	peerPort   = 7720
+	serverPort = 8080
+)
+
+// Groups of addresses: 127.NETWORK.GROUP.NUMBER.
+const (
+	daemonGroup  = 1
+	serverGroup  = 2
+	callerGroup  = 3
+	checkerGroup = 4
+)
+
+// Sizes of the site.
+const (
+	zones          = 2
+	daemonsPerZone = 2
+	serversOf      = 3 // of each service in each zone
+	callers        = 24
+)
+
+// Addresses of the services, and one that is added and dropped again.
+var (
+	counterAddr = netip.MustParseAddrPort("198.18.0.1:443")
+	guideAddr   = netip.MustParseAddrPort("198.18.0.2:443")
+	addedAddr   = netip.MustParseAddrPort("198.18.0.3:443")
+)
+
+// Names of the pools.
+const (
+	counterPool = "counter"
+	guidePool   = "guides"
+)
+
+// grace is the time between the signals that ask and force a daemon to end.
+const grace = 3 * time.Second
+
+// Config says how long and with what luck to play.
+type Config struct {
+	Seed     uint64
+	Duration time.Duration
+	// Still makes no changes and no crash.
+	Still bool
+}
+
+// site is a running site.
+type site struct {
+	config   Config
+	progress func(string)
+	network  byte
+	random   *rand.Rand
+	store    *platform.Store
+	daemons  []*machine
+	servers  []*platform.Backend
+	router   *router
+	report   report
+}
+
+// machine is an entry VM on which daemons run one after the other.
+type machine struct {
+	settings *settings.Entry
+	endpoint *platform.Endpoint
+	daemon   *entry.Daemon
+	stop     context.CancelFunc
+	done     chan error
+}
+
+// Run plays the site and returns what was seen.
+func Run(ctx context.Context, c Config, progress func(string)) (*Summary, error) {
+	s := &site{
+		config: c, progress: progress, network: byte(10 + c.Seed%200),
+		random: rand.New(rand.NewPCG(c.Seed, 0)), store: platform.NewStore(),
+	}
+	defer s.close()
+	if err := s.build(ctx); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	playing, stop := context.WithTimeout(ctx, c.Duration)
+	defer stop()
+	traffic, err := s.startCallers(playing)
+	if err != nil {
+		return nil, err
+	}
+	var changesErr error
+	if !c.Still {
+		changesErr = s.change(playing, began)
+	}
+	traffic.Wait()
+	if changesErr != nil && playing.Err() == nil {
+		return nil, changesErr
+	}
+	return s.report.summary(s.servers, time.Since(began)), nil
+}
+
+func (s *site) addr(group, n byte, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.network, group, n}), port)
+}
+
+func zoneName(zone int) string { return fmt.Sprint("zone-", zone) }
+
+// build starts servers and daemons and waits until the routers use all daemons.
+func (s *site) build(ctx context.Context) error {
+	s.configure(1, false)
+	for zone := range zones {
+		for _, pool := range []string{counterPool, guidePool} {
+			for range serversOf {
+				if err := s.addServer(pool, zoneName(zone)); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	s.router = newRouter(s.config.Seed)
+	for zone := range zones {
+		for range daemonsPerZone {
+			if err := s.addMachine(zoneName(zone)); err != nil {
+				return err
+			}
+		}
+	}
+	go s.router.poll(ctx)
+	return s.await(ctx, "all daemons ready", 10*time.Second, func() bool { return s.router.inRotation() == len(s.daemons) })
+}
+
+func (s *site) addServer(pool, zone string) error {
+	n := byte(len(s.servers) + 1)
+	b, err := platform.NewBackend(s.addr(serverGroup, n, serverPort), 0x51000000+uint64(n), pool, zone, dataPort)
+	if err != nil {
+		return err
+	}
+	s.servers = append(s.servers, b)
+	s.store.Put(b.Key(), b.Entry("ready"))
+	return nil
+}
+
+func (s *site) addMachine(zone string) error {
+	endpoint, err := s.store.Listen()
+	if err != nil {
+		return err
+	}
+	n := byte(len(s.daemons) + 1)
+	m := &machine{endpoint: endpoint, settings: &settings.Entry{
+		Name: fmt.Sprint("entry-", n), Region: "region", Zone: zone, Data: s.addr(daemonGroup, n, dataPort),
+		Ready: s.addr(daemonGroup, n, readyPort), Peer: s.addr(daemonGroup, n, peerPort), Store: endpoint.Addr(),
+		Seeds: []netip.AddrPort{s.addr(daemonGroup, 1, peerPort), s.addr(daemonGroup, 2, peerPort)},
+		Grace: grace, Recovery: 4 * time.Second, LogLevel: "info",
+	}}
+	s.daemons = append(s.daemons, m)
+	s.router.add(m.settings.Data, m.settings.Ready)
+	return m.start()
+}
+
+// start runs a new daemon on the machine.
+func (m *machine) start() error {
+	client := adapter.NewStore(m.endpoint.Addr())
+	d, err := entry.New(entry.Options{
+		Settings: m.settings, Source: client, Decoder: adapter.Decoder{}, Codec: adapter.Codec{},
+		ReadyPattern: adapter.ReadyPattern, Metrics: metrics.NewRegistry(), Log: events.New(zap.NewNop()),
+	})
+	if err != nil {
+		return errors.Wrapf(err, "start %s", m.settings.Name)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	m.daemon, m.stop, m.done = d, stop, make(chan error, 1)
+	go func() {
+		m.done <- d.Run(ctx, entry.Reload{})
+		client.Close()
+	}()
+	return nil
+}
+
+// configure writes a configuration, with or without the added route.
+func (s *site) configure(version int, added bool) {
+	route := func(name string, a netip.AddrPort, pool string) map[string]any {
+		return map[string]any{
+			"name": name, "host": a.Addr().String(), "prefix": fmt.Sprintf("/%d/", a.Port()), "kind": "unsafe",
+			"timeout_ms": 3000, "target_latency_ms": 150, "service": pool,
+		}
+	}
+	routes := []any{route("counter", counterAddr, counterPool), route("guides", guideAddr, guidePool)}
+	if added {
+		routes = append(routes, route("added", addedAddr, counterPool))
+	}
+	value, err := json.Marshal(map[string]any{"version": version, "routes": routes, "services": []any{}, "limits": map[string]any{}})
+	if err != nil {
+		panic(err) // the value is made of plain types
+	}
+	s.store.Put("op/config", value)
+}
+
+// await waits until the condition holds.
+func (s *site) await(ctx context.Context, what string, bound time.Duration, condition func() bool) error {
+	deadline := time.Now().Add(bound)
+	for !condition() {
+		if time.Now().After(deadline) {
+			return errors.Errorf("%s: not within %s", what, bound)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// close ends everything that was started.
+func (s *site) close() {
+	for _, m := range s.daemons {
+		if m.daemon != nil {
+			m.daemon.Kill()
+			<-m.done
+			m.stop()
+		}
+		m.endpoint.Close()
+	}
+	for _, b := range s.servers {
+		b.Close()
+	}
+}
--- /dev/null
+++ b/standin/entrysite/site_test.go
@@ -0,0 +1,46 @@
+package entrysite
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"knapweedshore.example/standin/platform"
+)
+
+// Guards against a planned change, an outage of the store or a crash that a
+// caller notices, with each packet of a flow at a daemon drawn anew.
+func TestSiteKeepsItsPromises(t *testing.T) {
+	is := is.New(t)
+	s, err := Run(context.Background(), Config{Seed: 101, Duration: 12 * time.Second}, func(line string) { t.Log(line) })
+	is.NoErr(err)
+	if !s.OK() {
+		t.Fatal(s)
+	}
+	is.True(s.Requests > 100)
+}
+
+// Guards against a judgement that passes over what went wrong.
+func TestSummaryNamesWhatWentWrong(t *testing.T) {
+	is := is.New(t)
+	server, err := platform.NewBackend((&site{network: 9}).addr(serverGroup, 1, serverPort), 1, counterPool, zoneName(0), dataPort)
+	is.NoErr(err)
+	defer server.Close()
+	servers := []*platform.Backend{server}
+
+	var r report
+	is.True(r.summary(servers, time.Second).OK())
+	r.served() // and no server ran it
+	s := r.summary(servers, time.Second)
+	is.True(!s.OK())
+	is.True(strings.Contains(s.String(), "1 requests were answered and 0 executed"))
+
+	r = report{}
+	r.broken("flow %d broke", 7)
+	s = r.summary(servers, time.Second)
+	is.True(!s.OK())
+	is.True(strings.Contains(s.String(), "flow 7 broke"))
+}
