--- a/standin/entrysite/callers.go
+++ b/standin/entrysite/callers.go
@@ -84,6 +84,8 @@
 }
 
 func (s *site) poolOf(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, b := range s.servers {
 		if b.ID == id {
 			return b.Pool
--- a/standin/entrysite/changes.go
+++ b/standin/entrysite/changes.go
@@ -62,7 +62,7 @@
 	if err := s.addServer(counterPool, zoneName(0)); err != nil {
 		return err
 	}
-	go func() {
+	s.checks.Go(func() {
 		select {
 		case <-ctx.Done():
 		case <-time.After(2 * drainBound):
@@ -71,7 +71,7 @@
 		if last := leaving.LastOpened(); last.After(drained.Add(drainBound)) {
 			s.report.violated("server %s got a flow %s after its drain", leaving.ID, last.Sub(drained))
 		}
-	}()
+	})
 	return nil
 }
 
--- a/standin/entrysite/site.go
+++ b/standin/entrysite/site.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -79,9 +80,13 @@
 	random   *rand.Rand
 	store    *platform.Store
 	daemons  []*machine
-	servers  []*platform.Backend
 	router   *router
 	report   report
+	// checks run beside the changes and end with the run.
+	checks sync.WaitGroup
+
+	mu      sync.Mutex // guards servers, which are added under traffic
+	servers []*platform.Backend
 }
 
 // machine is an entry VM on which daemons run one after the other.
@@ -115,6 +120,7 @@
 		changesErr = s.change(playing, began)
 	}
 	traffic.Wait()
+	s.checks.Wait()
 	if changesErr != nil && playing.Err() == nil {
 		return nil, changesErr
 	}
@@ -152,6 +158,8 @@
 }
 
 func (s *site) addServer(pool, zone string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	n := byte(len(s.servers) + 1)
 	b, err := platform.NewBackend(s.addr(serverGroup, n, serverPort), 0x51000000+uint64(n), pool, zone, dataPort)
 	if err != nil {
