Compress large items, let them spread from daemon to daemon, build routes once

Each change of a server's registration also rebuilt the map of all routes.

Change: values from 4 KB on are sent compressed, packed once for each revision; a daemon sends two large responses at a time and refuses others, who ask the daemons that have got the news meanwhile; routes are indexed once for each configuration.

--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -57,8 +57,11 @@
 type Builder struct {
 	revision uint64
 	config   *Config
-	servers  map[string]*Server
-	vms      map[netip.Addr]*VM
+	// routes belongs to config and is shared by the directories built from it: a
+	// configuration has thousands of routes and changes rarely.
+	routes  map[netip.AddrPort]*Route
+	servers map[string]*Server
+	vms     map[netip.Addr]*VM
 }
 
 // NewBuilder returns a Builder that knows nothing.
@@ -98,7 +101,7 @@
 		if b.config != nil && c.Config.Version < b.config.Version {
 			return ReasonOldVersion
 		}
-		b.config = c.Config
+		b.use(c.Config)
 	case c.Server != nil:
 		return b.register(c.Server)
 	case c.Deleted != "":
@@ -116,6 +119,14 @@
 	return ""
 }
 
+func (b *Builder) use(c *Config) {
+	b.config = c
+	b.routes = make(map[netip.AddrPort]*Route, len(c.Routes))
+	for i := range c.Routes {
+		b.routes[c.Routes[i].Address] = &c.Routes[i]
+	}
+}
+
 func (b *Builder) register(s *Server) string {
 	b.servers[s.Name] = s
 	for _, other := range b.servers {
@@ -170,18 +181,12 @@
 	d := &Directory{
 		Revision: b.revision,
 		Config:   b.config,
-		routes:   map[netip.AddrPort]*Route{},
+		routes:   b.routes,
 		pools:    map[string][]*Server{},
 		byCookie: make(map[Cookie]*Server, len(b.servers)),
 		byName:   make(map[string]*Server, len(b.servers)),
 		vms:      maps.Clone(b.vms),
 	}
-	if b.config != nil {
-		for i := range b.config.Routes {
-			r := &b.config.Routes[i]
-			d.routes[r.Address] = r
-		}
-	}
 	missing := map[string][]*Server{}
 	for _, s := range b.ordered() {
 		d.byName[s.Name] = s
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -43,10 +43,11 @@
 	// changed asks for a report, news for a fetch.
 	changed chan struct{}
 	news    chan struct{}
-	// complete is filled while a complete directory is sent. One at a time leaves
-	// the link and the processor to the callers' packets.
-	complete chan struct{}
-	refused  atomic.Int64 // Unix seconds of the last logged refusal
+	packer  *packer
+	// large holds a place for each large response that is being sent. A limit
+	// leaves the link to the callers' packets.
+	large   chan struct{}
+	refused atomic.Int64 // Unix seconds of the last logged refusal
 }
 
 // New opens the sockets. Call Run next.
@@ -63,7 +64,7 @@
 	return &Exchange{
 		options: o, start: uint64(time.Now().UnixNano()), reports: reports, listener: listener,
 		changed: make(chan struct{}, 1), news: make(chan struct{}, 1),
-		complete: make(chan struct{}, 1),
+		packer: newPacker(), large: make(chan struct{}, largeAtOnce),
 	}, nil
 }
 
--- a/internal/exchange/fetch.go
+++ b/internal/exchange/fetch.go
@@ -10,7 +10,9 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -36,6 +38,18 @@
 	// millisecond without a directory costs opening packets.
 	prefetchDial    = 10 * time.Millisecond
 	prefetchTimeout = 50 * time.Millisecond
+	// fetchRetry is the mean pause between two rounds, and suppliersPerRound how
+	// many peers are asked in one.
+	fetchRetry        = 30 * time.Millisecond
+	suppliersPerRound = 3
+	// largeResponse is the size in bytes from which on a response counts as large.
+	// largeAtOnce of them are sent at a time, each for largePause: 100 KB in that
+	// time is less than a tenth of a link of 10 Mbit/s for each.
+	largeResponse = 8 << 10
+	largeAtOnce   = 2
+	largePause    = 50 * time.Millisecond
+	// codeBusy is the drpc error code of a refused large response.
+	codeBusy = 1
 	// acceptRetry is the pause after a failed accept or read, which is most
 	// likely a lack of file descriptors.
 	acceptRetry = 100 * time.Millisecond
@@ -61,11 +75,25 @@
 		case <-timer.C:
 		}
 		timer.Stop()
-		for _, from := range e.options.Table.Suppliers(time.Now()) {
+		e.catchUp(ctx, connections)
+	}
+}
+
+// catchUp asks the peers that have news, again and again, until the directory is
+// as new as theirs. Those that have got the news hand it on, so that large items
+// spread from daemon to daemon instead of all coming from one.
+func (e *Exchange) catchUp(ctx context.Context, connections map[netip.Addr]*drpcconn.Conn) {
+	for ctx.Err() == nil {
+		suppliers := e.options.Table.Suppliers(time.Now())
+		if len(suppliers) == 0 {
+			return
+		}
+		for _, from := range suppliers[:min(suppliersPerRound, len(suppliers))] {
 			if ctx.Err() != nil || e.fetchFrom(ctx, connections, from) {
-				break
+				return
 			}
 		}
+		wait.For(ctx, fetchRetry/2+rand.N(fetchRetry))
 	}
 }
 
@@ -76,6 +104,10 @@
 	if err == nil {
 		return len(e.options.Table.Suppliers(time.Now())) == 0
 	}
+	if drpcerr.Code(err) == codeBusy {
+		e.options.Metrics.Retried(metrics.PeerBusy)
+		return false
+	}
 	if c := connections[from]; c != nil {
 		_ = c.Close() // the connection has failed
 		delete(connections, from)
@@ -104,8 +136,7 @@
 	if err != nil {
 		return errors.Wrap(err, "fetch items")
 	}
-	e.take(response, from)
-	return nil
+	return e.take(response, from)
 }
 
 func (e *Exchange) connect(ctx context.Context, to netip.Addr, timeout time.Duration) (*drpcconn.Conn, error) {
@@ -120,10 +151,15 @@
 	}), nil
 }
 
-func (e *Exchange) take(response *peerapi.FetchItemsResponse, from netip.Addr) {
+func (e *Exchange) take(response *peerapi.FetchItemsResponse, from netip.Addr) error {
 	now := time.Now()
-	e.options.Follower.Offer(decodeReading(response, now), from.String())
+	reading, err := decodeReading(response, now)
+	if err != nil {
+		return err
+	}
+	e.options.Follower.Offer(reading, from.String())
 	e.options.Follower.Confirm(response.Revision, now.Add(-milliseconds(response.ReadingAgeMs)))
+	return nil
 }
 
 // Prefetch asks one seed for a complete directory when the daemon starts, which
@@ -152,7 +188,10 @@
 	if response.Revision == 0 || milliseconds(response.ReadingAgeMs) > e.options.Table.MaxAge() {
 		return false
 	}
-	e.take(response, seed)
+	if err := e.take(response, seed); err != nil {
+		e.options.Log.Log(events.FetchFailed, zap.Stringer("peer", seed), events.Cause(err))
+		return false
+	}
 	return e.options.Follower.Current() != nil
 }
 
@@ -192,14 +231,22 @@
 // FetchItems implements peerapi.DRPCDirectoryServer.
 func (s directoryServer) FetchItems(_ context.Context, r *peerapi.FetchItemsRequest) (*peerapi.FetchItemsResponse, error) {
 	now := time.Now()
-	reading := s.exchange.options.Follower.Since(r.HaveRevision)
-	if reading.Complete {
-		select {
-		case s.exchange.complete <- struct{}{}:
-			defer func() { <-s.exchange.complete }()
-		default:
-			return nil, errors.New("another daemon is being sent a complete directory")
-		}
+	e := s.exchange
+	reading := e.options.Follower.Since(r.HaveRevision)
+	response, err := encodeReading(reading, e.options.Follower.Age(now), now, e.packer)
+	if err != nil {
+		return nil, err
+	}
+	if proto.Size(response) <= largeResponse {
+		return response, nil
+	}
+	select {
+	case e.large <- struct{}{}:
+	default:
+		return nil, drpcerr.WithCode(errors.New("busy with other daemons"), codeBusy)
 	}
-	return encodeReading(reading, s.exchange.options.Follower.Age(now), now), nil
+	// The response is sent after the return; the place is kept for about as long
+	// as that takes on a slow link.
+	time.AfterFunc(largePause, func() { <-e.large })
+	return response, nil
 }
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -73,26 +73,37 @@
 	return time.Duration(min(ms, uint64(maxAge.Milliseconds()))) * time.Millisecond
 }
 
-func encodeReading(r registry.Reading, age time.Duration, now time.Time) *peerapi.FetchItemsResponse {
+func encodeReading(r registry.Reading, age time.Duration, now time.Time, p *packer) (*peerapi.FetchItemsResponse, error) {
 	m := &peerapi.FetchItemsResponse{
 		Revision: r.Revision, Complete: r.Complete, ReadingAgeMs: uint64(min(maxAge, age).Milliseconds()),
 	}
 	for _, i := range r.Items {
+		value, packed, err := p.pack(i)
+		if err != nil {
+			return nil, err
+		}
 		m.Items = append(m.Items, &peerapi.Item{
-			Key: i.Key, Value: i.Value, Revision: i.Revision, Created: i.Created, Deleted: i.Deleted, Lease: i.Lease,
+			Key: i.Key, Value: value, Packed: packed, Revision: i.Revision, Created: i.Created, Deleted: i.Deleted, Lease: i.Lease,
 			AgeMs: uint64(max(0, now.Sub(i.Read)).Milliseconds()),
 		})
 	}
-	return m
+	return m, nil
 }
 
-func decodeReading(m *peerapi.FetchItemsResponse, now time.Time) registry.Reading {
+func decodeReading(m *peerapi.FetchItemsResponse, now time.Time) (registry.Reading, error) {
 	r := registry.Reading{Revision: m.Revision, Complete: m.Complete}
 	for _, i := range m.Items {
+		value := i.Value
+		if i.Packed {
+			var err error
+			if value, err = unpack(i.Value); err != nil {
+				return registry.Reading{}, errors.Wrapf(err, "item %q", i.Key)
+			}
+		}
 		r.Items = append(r.Items, registry.Item{
-			Key: i.Key, Value: i.Value, Revision: i.Revision, Created: i.Created, Deleted: i.Deleted, Lease: i.Lease,
+			Key: i.Key, Value: value, Revision: i.Revision, Created: i.Created, Deleted: i.Deleted, Lease: i.Lease,
 			Read: now.Add(-milliseconds(i.AgeMs)),
 		})
 	}
-	return r
+	return r, nil
 }
--- a/internal/exchange/table_test.go
+++ b/internal/exchange/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,8 @@
 
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/placement"
+	"knapweedshore.example/internal/registry"
+	"knapweedshore.example/peerapi"
 )
 
 var epoch = time.Unix(0, 0)
@@ -274,3 +277,43 @@
 	got.Load, r.Load = placement.Load{}, placement.Load{}
 	is.Equal(got, r)
 }
+
+// Guards against a large value that fills the links between daemons, is packed
+// anew for each of them, or comes out changed.
+func TestLargeValuesArePackedOnce(t *testing.T) {
+	is := is.New(t)
+	p := newPacker()
+	value := []byte(strings.Repeat(`{"name":"r-1","host":"198.18.0.1","prefix":"/8443/"},`, 4000))
+	item := registry.Item{Key: "config", Value: value, Revision: 7, Read: epoch}
+	small := registry.Item{Key: "s", Value: []byte("small"), Revision: 8, Read: epoch}
+	reading := registry.Reading{Revision: 8, Items: []registry.Item{item, small}}
+	m, err := encodeReading(reading, time.Second, epoch, p)
+	is.NoErr(err)
+	is.True(len(m.Items[0].Value) < len(value)/10)
+	is.True(!m.Items[1].Packed)
+	again, err := encodeReading(reading, time.Second, epoch, p)
+	is.NoErr(err)
+	is.True(&again.Items[0].Value[0] == &m.Items[0].Value[0])
+	got, err := decodeReading(m, epoch)
+	is.NoErr(err)
+	is.Equal(got, reading)
+
+	reading.Items[0].Revision, reading.Items[0].Value = 9, []byte(strings.Repeat("x", packAbove))
+	m, err = encodeReading(reading, time.Second, epoch, p)
+	is.NoErr(err)
+	got, err = decodeReading(m, epoch)
+	is.NoErr(err)
+	is.Equal(got.Items[0].Value, reading.Items[0].Value)
+}
+
+// Guards against a compressed value that fills the memory, and against a broken
+// one that is taken over.
+func TestUnpackIsBounded(t *testing.T) {
+	is := is.New(t)
+	packed, _, err := newPacker().pack(registry.Item{Key: "k", Revision: 1, Value: make([]byte, maxUnpacked+1)})
+	is.NoErr(err)
+	_, err = unpack(packed)
+	is.True(err != nil)
+	_, err = decodeReading(&peerapi.FetchItemsResponse{Items: []*peerapi.Item{{Key: "k", Packed: true, Value: []byte("no")}}}, epoch)
+	is.True(err != nil)
+}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -55,11 +55,12 @@
 	ExceptionResend  Reason = "exception_resend"
 	ServerMoved      Reason = "server_moved"
 	HistoryLost      Reason = "history_lost"
+	PeerBusy         Reason = "peer_busy"
 )
 
 var retryReasons = []Reason{
 	StoreTimeout, StoreUnavailable, StoreThrottled, StoreConflict, LinkDial,
-	LinkBroken, TablesGap, ExceptionResend, ServerMoved, HistoryLost,
+	LinkBroken, TablesGap, ExceptionResend, ServerMoved, HistoryLost, PeerBusy,
 }
 
 // Totals.
