Bound the rounds of a fetch, count missing servers from the store, accept starts after a clock step

Found while reading the change: a peer that claims a revision it does not have was asked without end; a server whose end became known late was kept for 2.5 s from then, which can pass the 3 s after which no flow may reach it; a daemon that started after its time of day had stepped back was not heard by the others.

Run has no error any more, because it never had one to return.

--- a/cmd/knapweedshored/entry.go
+++ b/cmd/knapweedshored/entry.go
@@ -87,5 +87,6 @@
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
-	return d.Run(ctx, entry.Reload{Path: path, Signal: hangup, SetLevel: level.UnmarshalText})
+	d.Run(ctx, entry.Reload{Path: path, Signal: hangup, SetLevel: level.UnmarshalText})
+	return nil
 }
--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -12,8 +12,9 @@
 const (
 	// MissingGrace is how long a server whose registration vanished without a
 	// drain still takes flows if its pool has no other server. Registrations that
-	// lapsed with the store are back within 2 s of its return.
-	MissingGrace = 2500 * time.Millisecond
+	// lapsed with the store are back within about 2 s of its return, and 3 s after
+	// a server has gone no flow may reach it.
+	MissingGrace = 2300 * time.Millisecond
 	// RetiredFor is how long packets of open flows still find a server whose
 	// registration has vanished: the longest life of a flow on the platform.
 	RetiredFor = 60 * time.Second
@@ -23,7 +24,9 @@
 // DeletedVM and Problem is set.
 type Change struct {
 	Revision uint64
-	Config   *Config
+	// Read is when a daemon read the item from the store; zero for now.
+	Read   time.Time
+	Config *Config
 	// Server is a valid registration.
 	Server *Server
 	// Deleted is the id of a registration that has vanished.
@@ -96,6 +99,9 @@
 
 // apply returns why a change was refused, or "".
 func (b *Builder) apply(c Change, now time.Time) string {
+	if !c.Read.IsZero() {
+		now = c.Read
+	}
 	switch {
 	case c.Config != nil:
 		if b.config != nil && c.Config.Version < b.config.Version {
--- a/internal/directory/builder_test.go
+++ b/internal/directory/builder_test.go
@@ -106,6 +106,19 @@
 	is.True(d.ByCookie(1) != nil)
 }
 
+// Guards against a server that takes flows for longer because the news of its
+// end came late: the time runs from when a daemon read it from the store.
+func TestMissingSinceTheStoreWasRead(t *testing.T) {
+	is := is.New(t)
+	b := NewBuilder()
+	build(t, b, start, Change{Server: testServer("i-1", 1, 1)})
+	late := start.Add(2 * time.Second)
+	d := build(t, b, late, Change{Deleted: "i-1", Read: start})
+	is.Equal(len(d.Candidates("p")), 1)
+	d = build(t, b, start.Add(MissingGrace))
+	is.Equal(len(d.Candidates("p")), 0)
+}
+
 // Guards against an entry of another writer that keeps a server in use, or puts
 // the others out of use.
 func TestInvalidEntryNamesNoServer(t *testing.T) {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -43,6 +43,8 @@
 	expireInterval = 100 * time.Millisecond
 	// directoryPoll is how often a starting daemon looks for its directory.
 	directoryPoll = time.Millisecond
+	// readRetry is the pause after a failed read of the packet socket.
+	readRetry = 10 * time.Millisecond
 	// readyTimeout bounds a readiness request.
 	readyTimeout = 2 * time.Second
 )
@@ -126,7 +128,7 @@
 
 // Run serves until ctx ends and then forwards for part of the grace period. It
 // returns when all sockets are closed.
-func (d *Daemon) Run(ctx context.Context, reload Reload) error {
+func (d *Daemon) Run(ctx context.Context, reload Reload) {
 	s := d.options.Settings
 	d.options.Log.Log(events.DaemonStarted, zap.Stringer("data", s.Data), zap.String("zone", s.Zone), zap.Stringer("store", s.Store))
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -157,7 +159,6 @@
 	_ = d.data.Close() // ends the forwarding
 	tasks.Wait()
 	d.options.Log.Log(events.DaemonStopped)
-	return nil
 }
 
 // Close closes the sockets of a daemon that is not run.
@@ -245,7 +246,7 @@
 		return
 	}
 	d.options.Log.Log(events.DaemonFailed, zap.String("part", step), events.Cause(err))
-	wait.For(ctx, 10*time.Millisecond)
+	wait.For(ctx, readRetry)
 }
 
 // upkeep forgets what has ended.
--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -52,7 +52,7 @@
 	endpoint *platform.Endpoint
 	logs     *observer.ObservedLogs
 	stop     context.CancelFunc
-	done     chan error
+	done     chan struct{}
 }
 
 // networks gives each test its own addresses: 127.N.*.*.
@@ -115,7 +115,7 @@
 
 func (s *site) startAt(n byte, zone string, endpoint *platform.Endpoint) *daemon {
 	s.t.Helper()
-	d := &daemon{endpoint: endpoint, done: make(chan error, 1), settings: &settings.Entry{
+	d := &daemon{endpoint: endpoint, done: make(chan struct{}), settings: &settings.Entry{
 		Name: fmt.Sprint("vm", n), Region: "r", Zone: zone, Data: s.addr(1, n, dataPort), Ready: s.addr(1, n, readyPort),
 		Peer: s.addr(1, n, peerPort), Store: endpoint.Addr(), Grace: 3 * time.Second, Recovery: 4 * time.Second,
 	}}
@@ -133,24 +133,23 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	go func() {
-		d.done <- running.Run(ctx, entry.Reload{})
+		defer close(d.done)
+		running.Run(ctx, entry.Reload{})
 		client.Close()
 	}()
 	s.daemons = append(s.daemons, d)
-	s.t.Cleanup(func() { d.end(s.t) })
+	s.t.Cleanup(func() { d.end() })
 	return d
 }
 
 // end stops the daemon if it runs.
-func (d *daemon) end(t *testing.T) {
+func (d *daemon) end() {
 	if d.stop == nil {
 		return
 	}
 	d.stop()
 	d.stop = nil
-	if err := <-d.done; err != nil {
-		t.Errorf("daemon %s: %v", d.settings.Name, err)
-	}
+	<-d.done
 }
 
 func (d *daemon) router() platform.Router { return platform.Via(d.settings.Data) }
@@ -230,7 +229,7 @@
 		is.NoErr(err)
 		flows, owners = append(flows, flow), append(owners, answer)
 	}
-	first.end(t)
+	first.end()
 	for i, flow := range flows {
 		answer, err := flow.Request(second.router(), "1")
 		is.NoErr(err)
@@ -262,7 +261,7 @@
 	s.await("not ready", time.Second, func() bool { return !d.ready() })
 	_, err = s.serve(d, serviceAddr)
 	is.NoErr(err)
-	is.NoErr(<-d.done)
+	<-d.done
 	d.stop = nil
 }
 
@@ -278,7 +277,7 @@
 	s.await("peers", 5*time.Second, func() bool {
 		return first.logs.FilterMessage(events.DirectoryApplied.Message).Len() > 0 && s.registered(second)
 	})
-	second.end(t)
+	second.end()
 	for _, d := range []*daemon{first, second} {
 		d.endpoint.Set(platform.Silent)
 	}
@@ -380,7 +379,7 @@
 	s := newSite(t)
 	d := s.start("a")
 	s.awaitReady(d)
-	d.end(t)
+	d.end()
 
 	path := filepath.Join(t.TempDir(), "entry.ini")
 	write := func(text string) { is.NoErr(os.WriteFile(path, []byte(text), 0o600)) }
@@ -399,9 +398,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	hangup := make(chan os.Signal, 1)
 	var level string
-	done := make(chan error, 1)
+	done := make(chan struct{})
 	go func() {
-		done <- running.Run(ctx, entry.Reload{Path: path, Signal: hangup, SetLevel: func(b []byte) error { level = string(b); return nil }})
+		defer close(done)
+		running.Run(ctx, entry.Reload{Path: path, Signal: hangup, SetLevel: func(b []byte) error { level = string(b); return nil }})
 		client.Close()
 	}()
 	has := func(e events.Event) func() bool {
@@ -414,7 +414,7 @@
 	hangup <- os.Interrupt
 	s.await("change", 5*time.Second, has(events.Reloaded))
 	stop()
-	is.NoErr(<-done)
+	<-done
 	is.Equal(level, "warn")
 	fields := logs.FilterMessage(events.Reloaded.Message).All()[0].ContextMap()
 	is.Equal(fmt.Sprint(fields["restart"]), "[vm.zone]")
--- a/internal/exchange/fetch.go
+++ b/internal/exchange/fetch.go
@@ -38,10 +38,13 @@
 	// millisecond without a directory costs opening packets.
 	prefetchDial    = 10 * time.Millisecond
 	prefetchTimeout = 50 * time.Millisecond
-	// fetchRetry is the mean pause between two rounds, and suppliersPerRound how
-	// many peers are asked in one.
+	// fetchRetry is the mean pause between two rounds, suppliersPerRound how many
+	// peers are asked in one, and roundsPerNews how many rounds there are before
+	// the next report is awaited: a peer that claims more than it has is not asked
+	// for ever.
 	fetchRetry        = 30 * time.Millisecond
 	suppliersPerRound = 3
+	roundsPerNews     = 20
 	// largeResponse is the size in bytes from which on a response counts as large.
 	// largeAtOnce of them are sent at a time, each for largePause: 100 KB in that
 	// time is less than a tenth of a link of 10 Mbit/s for each.
@@ -79,11 +82,11 @@
 	}
 }
 
-// catchUp asks the peers that have news, again and again, until the directory is
-// as new as theirs. Those that have got the news hand it on, so that large items
+// catchUp asks the peers that have news until the directory is as new as theirs,
+// for a number of rounds. Those that have got the news hand it on, so that large items
 // spread from daemon to daemon instead of all coming from one.
 func (e *Exchange) catchUp(ctx context.Context, connections map[netip.Addr]*drpcconn.Conn) {
-	for ctx.Err() == nil {
+	for range roundsPerNews {
 		suppliers := e.options.Table.Suppliers(time.Now())
 		if len(suppliers) == 0 {
 			return
@@ -93,7 +96,9 @@
 				return
 			}
 		}
-		wait.For(ctx, fetchRetry/2+rand.N(fetchRetry))
+		if !wait.For(ctx, fetchRetry/2+rand.N(fetchRetry)) {
+			return
+		}
 	}
 }
 
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -158,7 +158,7 @@
 		p = &peer{addr: from}
 		t.peers[from] = p
 	}
-	if r.Start < p.last.Start || r.Start == p.last.Start && r.Sequence <= p.last.Sequence {
+	if t.outdated(p, r, now) {
 		return false
 	}
 	p.zone, p.last, p.seen = r.Zone, r, now
@@ -172,6 +172,16 @@
 	return true
 }
 
+// outdated reports whether a report is older than the last one. The start is a
+// time of day, which may have stepped back between two processes of a VM: after
+// a pause an earlier start is a new process.
+func (t *Table) outdated(p *peer, r Report, now time.Time) bool {
+	if r.Start == p.last.Start {
+		return r.Sequence <= p.last.Sequence
+	}
+	return r.Start < p.last.Start && now.Sub(p.seen) < leastSilence
+}
+
 // noteProgress keeps behind: the time since a higher revision has been known.
 func (t *Table) noteProgress(now time.Time) {
 	revision, _ := t.own(now)
--- a/internal/exchange/table_test.go
+++ b/internal/exchange/table_test.go
@@ -211,6 +211,18 @@
 	is.True(!table.Heard(from, Report{Zone: zoneName(0), Start: 1, Sequence: 9}, epoch))
 }
 
+// Guards against a daemon that nobody hears after its VM's time of day has
+// stepped back between two processes.
+func TestStartAfterAClockStep(t *testing.T) {
+	is := is.New(t)
+	table := region(2)[0].table
+	from := addr(0, 2)
+	is.True(table.Heard(from, Report{Zone: zoneName(0), Start: 9, Sequence: 50}, epoch))
+	later := epoch.Add(leastSilence)
+	is.True(table.Heard(from, Report{Zone: zoneName(0), Start: 7, Sequence: 1}, later))
+	is.True(table.Heard(from, Report{Zone: zoneName(0), Start: 7, Sequence: 2}, later))
+}
+
 // Guards against reports of strangers, and against a daemon that finds nobody
 // because it has no directory yet.
 func TestAdmittedAddresses(t *testing.T) {
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -269,10 +269,12 @@
 }
 
 func (f *Follower) decode(i Item) (directory.Change, bool) {
-	if c, ok := decodeVM(i); ok {
-		return c, true
+	c, ok := decodeVM(i)
+	if !ok {
+		c, ok = f.decoder.Decode(i)
 	}
-	return f.decoder.Decode(i)
+	c.Read = i.Read
+	return c, ok
 }
 
 // publish makes the builder's state the current directory. f.mu is held.
--- a/standin/entrysite/changes.go
+++ b/standin/entrysite/changes.go
@@ -78,9 +78,7 @@
 // restart lets a daemon leave and starts the next one on its machine.
 func (s *site) restart(ctx context.Context, m *machine) error {
 	m.stop()
-	if err := <-m.done; err != nil {
-		return err
-	}
+	<-m.done
 	if err := m.start(); err != nil {
 		return err
 	}
@@ -128,9 +126,7 @@
 	}
 	m := s.daemons[len(s.daemons)-1]
 	m.daemon.Kill()
-	if err := <-m.done; err != nil {
-		return err
-	}
+	<-m.done
 	m.stop()
 	if err := m.start(); err != nil {
 		return err
--- a/standin/entrysite/site.go
+++ b/standin/entrysite/site.go
@@ -95,7 +95,7 @@
 	endpoint *platform.Endpoint
 	daemon   *entry.Daemon
 	stop     context.CancelFunc
-	done     chan error
+	done     chan struct{}
 }
 
 // Run plays the site and returns what was seen.
@@ -198,9 +198,11 @@
 		return errors.Wrapf(err, "start %s", m.settings.Name)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	m.daemon, m.stop, m.done = d, stop, make(chan error, 1)
+	m.daemon, m.stop, m.done = d, stop, make(chan struct{})
+	done := m.done
 	go func() {
-		m.done <- d.Run(ctx, entry.Reload{})
+		defer close(done)
+		d.Run(ctx, entry.Reload{})
 		client.Close()
 	}()
 	return nil
