Place a new flow anew when its port was used before

Found while reading the change: the record of an ended flow sent a new flow with the same port to the former server for 3 s, also when that one drains (TestPortIsUsedAgain fails without the change). Refusals are a type of their own in place of an error that was cast back.

--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -40,6 +40,11 @@
 	last time.Time
 }
 
+// NewEngine returns an engine that knows no flows.
+func NewEngine(codec Codec, tables Tables, placer *placement.Placer, m *metrics.Registry, log *events.Logger) *Engine {
+	return &Engine{codec: codec, tables: tables, placer: placer, metrics: m, log: log, flows: map[flowKey]*flow{}}
+}
+
 // Quiet returns how long ago the last packet arrived.
 func (e *Engine) Quiet(now time.Time) time.Duration {
 	e.mu.Lock()
@@ -47,11 +52,6 @@
 	return now.Sub(e.last)
 }
 
-// NewEngine returns an engine that knows no flows.
-func NewEngine(codec Codec, tables Tables, placer *placement.Placer, m *metrics.Registry, log *events.Logger) *Engine {
-	return &Engine{codec: codec, tables: tables, placer: placer, metrics: m, log: log, flows: map[flowKey]*flow{}}
-}
-
 // Verdict says what to do with a packet.
 type Verdict struct {
 	// To is the server or caller that gets Bytes; an invalid address drops the
@@ -68,42 +68,36 @@
 	e.metrics.Count(metrics.PacketsIn, 1)
 	packet, err := e.codec.Parse(b[e.codec.Headroom():])
 	if err != nil {
-		e.metrics.Refused(metrics.Malformed)
-		return Verdict{}
+		return e.refuse(b, packet, &refusal{reason: metrics.Malformed})
 	}
 	d := e.tables.Current()
 	if d == nil {
-		e.metrics.Refused(metrics.NoTables)
-		return Verdict{}
+		return e.refuse(b, packet, &refusal{reason: metrics.NoTables})
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.last = now
-	var server *directory.Server
+	decide := e.follow
 	if packet.Opens {
-		server, err = e.open(d, packet, now)
-	} else {
-		server, err = e.follow(d, packet, now)
+		decide = e.open
 	}
-	if err != nil {
-		return e.refuse(b, packet, err)
+	server, refused := decide(d, packet, now)
+	if refused != nil {
+		return e.refuse(b, packet, refused)
 	}
 	e.codec.Address(b, server.Number, server.Cookie)
 	e.metrics.Count(metrics.PacketsOut, 1)
 	return Verdict{To: server.Endpoint, Bytes: b}
 }
 
-// refusal is the reason why a packet is not forwarded.
+// refusal says why a packet is not forwarded.
 type refusal struct {
 	reason metrics.Reason
 	// reset tells the caller at once.
 	reset bool
 }
 
-func (r refusal) Error() string { return string(r.reason) }
-
-func (e *Engine) refuse(b []byte, p Packet, err error) Verdict {
-	r, _ := err.(refusal)
+func (e *Engine) refuse(b []byte, p Packet, r *refusal) Verdict {
 	e.metrics.Refused(r.reason)
 	if !r.reset || p.Aborts {
 		return Verdict{}
@@ -113,9 +107,13 @@
 
 // open places a new flow, or repeats the placement of one whose opening packet
 // is a copy.
-func (e *Engine) open(d *directory.Directory, p Packet, now time.Time) (*directory.Server, error) {
+func (e *Engine) open(d *directory.Directory, p Packet, now time.Time) (*directory.Server, *refusal) {
 	key := flowKey{p.Caller, p.Service}
 	f := e.flows[key]
+	if f != nil && f.ended && p.Copy == 0 {
+		f = nil // the caller uses the port again
+		delete(e.flows, key)
+	}
 	if f != nil && f.established {
 		// A late copy: the flow's server knows it.
 		f.lastSeen = now
@@ -124,7 +122,7 @@
 	route := d.Route(p.Service)
 	if route == nil {
 		e.logRefusal(d, p, metrics.NoRoute, now)
-		return nil, refusal{metrics.NoRoute, e.tables.Age(now) <= freshEnough}
+		return nil, &refusal{metrics.NoRoute, e.tables.Age(now) <= freshEnough}
 	}
 	avoid := directory.Cookie(0)
 	if f != nil && f.ticket != nil {
@@ -136,7 +134,7 @@
 	server, ticket := e.placer.Choose(placement.Request{Route: route, Candidates: candidates, Avoid: avoid, Now: now})
 	if server == nil {
 		e.logRefusal(d, p, metrics.NoUsableServer, now)
-		return nil, refusal{metrics.NoUsableServer, true}
+		return nil, &refusal{metrics.NoUsableServer, true}
 	}
 	e.metrics.Count(metrics.FlowsOpened, 1)
 	if avoid != 0 && avoid != server.Cookie {
@@ -174,7 +172,7 @@
 }
 
 // follow finds the server of a flow's later packet.
-func (e *Engine) follow(d *directory.Directory, p Packet, now time.Time) (*directory.Server, error) {
+func (e *Engine) follow(d *directory.Directory, p Packet, now time.Time) (*directory.Server, *refusal) {
 	key := flowKey{p.Caller, p.Service}
 	f := e.flows[key]
 	if f == nil {
@@ -189,13 +187,13 @@
 }
 
 // adopt forwards a packet of a flow that another daemon has placed.
-func (e *Engine) adopt(d *directory.Directory, p Packet) (*directory.Server, error) {
+func (e *Engine) adopt(d *directory.Directory, p Packet) (*directory.Server, *refusal) {
 	if p.Cookie == 0 {
-		return nil, refusal{metrics.NoCookie, false}
+		return nil, &refusal{metrics.NoCookie, false}
 	}
 	server := d.ByCookie(p.Cookie)
 	if server == nil {
-		return nil, refusal{metrics.UnknownCookie, false}
+		return nil, &refusal{metrics.UnknownCookie, false}
 	}
 	return server, nil
 }
@@ -224,6 +222,7 @@
 
 // observe follows the request and the response in the caller's packets.
 func (e *Engine) observe(f *flow, p Packet, now time.Time) {
+	f.ended = f.ended || p.Ends || p.Aborts
 	switch {
 	case f.ticket == nil:
 	case p.Aborts:
--- a/internal/cookie/engine_test.go
+++ b/internal/cookie/engine_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"knapweedshore.example/internal/directory"
@@ -150,6 +149,19 @@
 	w.is.Equal(v.To, w.tables.endpoint(first))
 }
 
+// Guards against a new flow on a port that was used before, sent to the former
+// flow's server although that one drains.
+func TestPortIsUsedAgain(t *testing.T) {
+	w := newWorld(t)
+	first := w.open(0)
+	w.send(Packet{Cookie: first, Payload: 10})
+	w.send(Packet{Cookie: first, Ack: 1, Ends: true})
+	draining := server(uint64(first), w.tables.directory.ByCookie(first).Endpoint.String())
+	draining.Draining = true
+	w.apply(directory.Change{Server: draining})
+	w.is.True(w.open(0) != first)
+}
+
 // Guards against packets to an address that another server has got since: the
 // id in the envelope and the cookie name the server, not the address.
 func TestAddressOfAGoneServerIsUsedAgain(t *testing.T) {
@@ -265,5 +277,4 @@
 	w := newWorld(t)
 	w.is.True(!w.engine.Handle([]byte("envlnot JSON"), w.now).To.IsValid())
 	w.is.Equal(w.metrics.Refusals().Value(metrics.Malformed), int64(1))
-	w.is.True(errors.Is(refusal{reason: metrics.Malformed}, refusal{reason: metrics.Malformed}))
 }
--- a/internal/cookie/flows.go
+++ b/internal/cookie/flows.go
@@ -21,6 +21,8 @@
 	// established flows have sent a packet after the first one: the server in
 	// it is the one that holds the flow.
 	established bool
+	// ended flows have got the caller's last packet or its reset.
+	ended bool
 	// askedAck is the caller's acknowledgement number in its request.
 	askedAck                    uint32
 	asked                       bool
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -182,7 +182,7 @@
 	return r.Start < p.last.Start && now.Sub(p.seen) < leastSilence
 }
 
-// noteProgress keeps behind: the time since a higher revision has been known.
+// noteProgress updates the time since which a higher revision has been known.
 func (t *Table) noteProgress(now time.Time) {
 	revision, _ := t.own(now)
 	switch {
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"knapweedshore.example/internal/directory"
@@ -127,8 +128,8 @@
 	return max(0, now.Sub(f.epoch)-time.Duration(at))
 }
 
-// Confirm notes that a revision was the newest one at a time. Revisions other
-// than the present one are ignored if they are lower.
+// Confirm notes that a revision was the newest one at a time. It is ignored
+// while this daemon lacks the revision.
 func (f *Follower) Confirm(revision uint64, at time.Time) {
 	if f.Revision() < revision {
 		return
@@ -159,7 +160,9 @@
 
 // Run follows the store until ctx ends, as far as it is this daemon's duty.
 func (f *Follower) Run(ctx context.Context, duty Duty) {
-	go f.expire(ctx)
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { f.expire(ctx) })
 	if f.prefetch(ctx) {
 		f.log.Log(events.PeersHelpedStart, zap.Uint64("revision", f.Revision()))
 	}
