Do not take a zone without daemons for cut off

Found while reading the change: when the last daemon of a zone was taken away, the others waited for its reports for ever and kept flows off the servers of that zone (TestZoneWithoutDaemonsIsNotSilent fails without the change).

--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -263,13 +263,18 @@
 	if zone == t.zone || t.quietSince[zone].IsZero() {
 		return false
 	}
-	heard := t.quietSince[zone]
+	heard, daemons := t.quietSince[zone], 0
 	for _, p := range t.peers {
-		if p.zone == zone && p.seen.After(heard) {
+		if p.zone != zone {
+			continue
+		}
+		daemons++
+		if p.seen.After(heard) {
 			heard = p.seen
 		}
 	}
-	return now.Sub(heard) > t.zoneSilence(zone)
+	// A zone without daemons has servers that may be reached all the same.
+	return daemons > 0 && now.Sub(heard) > t.zoneSilence(zone)
 }
 
 // zoneSilence is how long a whole zone may send nothing: its daemons take
--- a/internal/exchange/table_test.go
+++ b/internal/exchange/table_test.go
@@ -198,6 +198,20 @@
 	is.True(!self.Silent(zoneName(1), now.Add(time.Second)))
 }
 
+// Guards against servers that are out of use for ever because the daemons of
+// their zone were taken away.
+func TestZoneWithoutDaemonsIsNotSilent(t *testing.T) {
+	is := is.New(t)
+	members := region(2, 2)
+	exchangeReports(members, epoch, nil)
+	self, later := members[0].table, epoch.Add(time.Minute)
+	is.True(self.Silent(zoneName(1), later))
+	b := directory.NewBuilder()
+	b.Apply([]directory.Change{{VM: &directory.VM{Name: "a", Zone: zoneName(0), Addr: addr(0, 2)}}}, 1, epoch)
+	self.Apply(b.Build(), later)
+	is.True(!self.Silent(zoneName(1), later))
+}
+
 // Guards against reports that arrive late and undo newer ones, and against a
 // restarted daemon whose reports are taken for old.
 func TestOldReportsAreIgnored(t *testing.T) {
