Replace a silent watch after 2 s, and keep peers whose registration was dropped

Reading for other causes found that a daemon whose registration the store drops, as it does for machines that it refuses, was neither heard nor helped by its peers.

Change: a watch is given 1.5 + 0.5 s (TestFollowerReplacesASilentWatch fails with 2.5 + 0.5 s); a peer is kept for a minute after its last report (TestDroppedRegistrationKeepsAHeardPeer).

Price: half a call a second more.

--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -34,6 +34,10 @@
 	// zone counts as silent, and leastSilence the shortest time for that.
 	missedReports = 5
 	leastSilence  = 400 * time.Millisecond
+	// forgetAfter is how long a peer is kept after its last report although its
+	// registration has vanished: the store may have dropped the keys of a machine
+	// whose calls it refuses, and that machine needs its peers the most.
+	forgetAfter = time.Minute
 	// behindGrace is how long the peers may take to hand on what is new.
 	behindGrace = 500 * time.Millisecond
 )
@@ -133,15 +137,16 @@
 			t.quietSince[vm.Zone] = now
 		}
 	}
-	for addr := range t.peers {
-		if d.VMs()[addr] == nil && !slices.Contains(t.seeds, addr) {
+	for addr, p := range t.peers {
+		heard := !p.seen.IsZero() && now.Sub(p.seen) <= forgetAfter
+		if d.VMs()[addr] == nil && !heard && !slices.Contains(t.seeds, addr) {
 			delete(t.peers, addr)
 		}
 	}
 }
 
-// Admits reports whether an address may be a daemon: it is registered in the
-// store, or named in the settings.
+// Admits reports whether an address may be a daemon: it is or was recently
+// registered in the store, or is named in the settings.
 func (t *Table) Admits(addr netip.Addr) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/exchange/table_test.go
+++ b/internal/exchange/table_test.go
@@ -204,7 +204,7 @@
 	is := is.New(t)
 	members := region(2, 2)
 	exchangeReports(members, epoch, nil)
-	self, later := members[0].table, epoch.Add(time.Minute)
+	self, later := members[0].table, epoch.Add(2*forgetAfter)
 	is.True(self.Silent(zoneName(1), later))
 	b := directory.NewBuilder()
 	b.Apply([]directory.Change{{VM: &directory.VM{Name: "a", Zone: zoneName(0), Addr: addr(0, 2)}}}, 1, epoch)
@@ -212,6 +212,24 @@
 	is.True(!self.Silent(zoneName(1), later))
 }
 
+// Guards against a daemon that its peers neither hear nor help because the store,
+// which refuses its calls, has also dropped its registration (found by a hunt:
+// sullam-hq, trouble-1, seed 1040710004437, DRAIN).
+func TestDroppedRegistrationKeepsAHeardPeer(t *testing.T) {
+	is := is.New(t)
+	members := region(3)
+	exchangeReports(members, epoch, nil)
+	self, now := members[0].table, epoch.Add(time.Second)
+	empty := directory.NewBuilder().Build()
+	self.Apply(empty, now)
+	is.True(self.Admits(addr(0, 2)))
+	peers, _, _ := self.ZonePeers()
+	is.Equal(len(peers), 2)
+
+	self.Apply(empty, epoch.Add(forgetAfter+time.Second))
+	is.True(!self.Admits(addr(0, 2)))
+}
+
 // Guards against reports that arrive late and undo newer ones, and against a
 // restarted daemon whose reports are taken for old.
 func TestOldReportsAreIgnored(t *testing.T) {
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -92,10 +92,11 @@
 	Slack time.Duration
 }
 
-// WatchTimesFor returns the times with which a connection that went silent is
-// replaced, and its successor has answered, within recovery.
+// WatchTimesFor returns the times for a recovery time. A connection that went
+// silent alone is replaced after half of it, so that a change which it should
+// have told is in force in time: 2 s of the platform's 3 s.
 func WatchTimesFor(recovery time.Duration) WatchTimes {
-	return WatchTimes{Wait: recovery * 5 / 8, Slack: recovery / 8}
+	return WatchTimes{Wait: recovery * 3 / 8, Slack: recovery / 8}
 }
 
 // MaxAge is the age of a directory that no working watch exceeds.
--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -265,6 +265,26 @@
 	}
 }
 
+// Guards against a change that is in force too late because just the pending
+// watch went silent, while new connections work (a hunt on sullam-hq saw a
+// server get flows 3,005 ms after its drain).
+func TestFollowerReplacesASilentWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		s.put("config", "1")
+		f, stop := startFollower(t, s, always(true))
+		defer stop()
+		time.Sleep(3 * time.Second)
+		s.set(func(s *fakeStore) { s.silent = true })
+		s.put("config", "2")
+		synctest.Wait() // the pending watch hangs now
+		s.set(func(s *fakeStore) { s.silent = false })
+		time.Sleep(2500 * time.Millisecond) // of 3 s, with half a second to hand it on
+		is.Equal(version(f), uint64(2))
+	})
+}
+
 // Guards against a store that is flooded with calls while it fails.
 func TestFollowerCallsAFailingStoreRarely(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
