--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -141,9 +141,6 @@
 // found for as long as flows to them may be open.
 func (d *Directory) ByCookie(c Cookie) *Server { return d.byCookie[c] }
 
-// ByName returns a registered server, or nil.
-func (d *Directory) ByName(name string) *Server { return d.byName[name] }
-
 // Servers returns how many servers are known, retired ones left out.
 func (d *Directory) Servers() int {
 	n := 0
