Pass over a watcher whose store calls fail

Cause: a daemon that the store refuses is kept confirmed by the reports of the other zone's watcher, so its own zone went on taking it for the watcher. Until that watcher failed as well nobody noticed, and then only by the age of the directory, after 2.25 s of the 3 s that a drain allows.

Change: a daemon counts as watching from the first answer of a watch until a call fails; a zone passes over daemons that do not watch.

--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -198,10 +198,14 @@
 	}
 }
 
-// Watches implements registry.Duty. A daemon watches the store if it is the
-// first live one of its zone and its zone one of the first that are covered, if
-// its directory has not been confirmed for too long, or if it lacks a revision
-// that the peers did not hand on.
+// Watches implements registry.Duty. A daemon watches the store if no daemon of
+// its zone with a lower address does and its zone is one of the first that are
+// covered, if its directory has not been confirmed for too long, or if it lacks a
+// revision that the peers did not hand on.
+//
+// A daemon whose calls fail does not count as watching, so the next one takes
+// over with its next report; its directory, which the peers keep confirmed, would
+// hide the failure.
 func (t *Table) Watches(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -217,7 +221,7 @@
 		if !t.fresh(p, now) {
 			continue
 		}
-		if p.zone == t.zone && p.addr.Less(t.self) {
+		if p.zone == t.zone && p.last.Watching && p.addr.Less(t.self) {
 			return false
 		}
 		if p.zone < t.zone {
--- a/internal/exchange/table_test.go
+++ b/internal/exchange/table_test.go
@@ -32,12 +32,15 @@
 	age      time.Duration
 	sequence uint64
 	dead     bool
+	// refused members get no answers from the store.
+	refused bool
 }
 
-func (m *member) report() Report {
+func (m *member) report(now time.Time) Report {
 	m.sequence++
 	return Report{
 		VM: m.addr.String(), Zone: zoneName(m.zone), Start: 1, Sequence: m.sequence, Revision: m.revision, Age: m.age,
+		Watching: m.table.Watches(now) && !m.refused,
 	}
 }
 
@@ -69,7 +72,7 @@
 	for _, from := range members {
 		for _, to := range members {
 			if from != to && !from.dead && !to.dead && (cut == nil || !cut(from.zone, to.zone)) {
-				to.table.Heard(from.addr, from.report(), now)
+				to.table.Heard(from.addr, from.report(now), now)
 			}
 		}
 	}
@@ -106,6 +109,8 @@
 	for name, end := range map[string]func(m *member){
 		"dead": func(m *member) { m.dead = true },
 		"old":  func(m *member) { m.age = maxDirectoryAge + time.Second },
+		// Its directory is confirmed by the watcher of the other zone.
+		"refused by the store": func(m *member) { m.refused = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -121,7 +126,7 @@
 	t.Run("leaving", func(t *testing.T) {
 		is := is.New(t)
 		members := region(2)
-		r := members[0].report()
+		r := members[0].report(epoch)
 		r.Leaving = true
 		members[1].table.Heard(members[0].addr, r, epoch)
 		is.True(members[1].table.Watches(epoch))
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -57,7 +57,8 @@
 	// run under it, have locks of their own.
 	current  atomic.Pointer[directory.Directory]
 	revision atomic.Uint64
-	// watching is set while a watch is pending or about to be repeated.
+	// watching is set from the first answer of a watch until a call fails or the
+	// duty ends.
 	watching atomic.Bool
 	// epoch is what confirmed, the time of the last confirmation, is counted
 	// from, so that steps of the time of day do not change ages.
@@ -116,7 +117,7 @@
 // Current returns the newest directory, or nil before the first configuration.
 func (f *Follower) Current() *directory.Directory { return f.current.Load() }
 
-// Watching reports whether this daemon watches the store.
+// Watching reports whether this daemon watches the store and gets answers.
 func (f *Follower) Watching() bool { return f.watching.Load() }
 
 // Age returns how long ago the store last confirmed the directory, directly or
@@ -177,7 +178,6 @@
 			wait.For(ctx, idleInterval)
 			continue
 		}
-		f.setWatching(known)
 		var err error
 		if known {
 			err = f.watch(ctx)
@@ -187,6 +187,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		f.setWatching(known && err == nil)
 		if err == nil {
 			f.recovered(failures)
 			relist, failures = false, 0
