--- a/cmd/knapweedshored/entry_test.go
+++ b/cmd/knapweedshored/entry_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"maps"
 	"os"
 	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -19,32 +21,53 @@
 	"node_name": "front-a-1", "region": "r", "zone": "a", "ip": "10.1.0.10",
 	"listen_addrs.datagram_addr": "10.1.0.10:8172", "listen_addrs.ready": "10.1.0.10:8167",
 	"internal_ports.0": "7720", "internal_ports.1": "7735", "platform.address": "10.200.1.7:8169",
-	"seeds": "10.1.0.10:8166,10.2.0.40:8166", "bounds.grace_s": "6", "bounds.stable_ms": "4000",
+	"seeds": "10.1.0.10:8166,10.2.0.40:8166", "bounds.grace_s": "7", "bounds.stable_ms": "4500",
+	"bounds.drain_ms": "2500", "bounds.config_apply_ms": "2000", "bounds.flow_ttl_s": "50",
 }
 
-// Guards against a deploy template that the daemon refuses: a key that it does
-// not know, a missing one, or a value in the wrong form.
-func TestDeployTemplateGivesValidSettings(t *testing.T) {
-	is := is.New(t)
+// render fills in the deploy template as the platform does.
+func render(t *testing.T, values map[string]string) string {
+	t.Helper()
 	template, err := os.ReadFile("../../deploy/entry.ini.tmpl")
-	is.NoErr(err)
-	text := regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(template), func(field string) string {
-		value, ok := platformValues[strings.Trim(field, "{}")]
+	is.New(t).NoErr(err)
+	text := regexp.MustCompile(`(?s)\{\{#([^}]*)\}\}(.*?)\{\{/[^}]*\}\}`).ReplaceAllStringFunc(string(template), func(section string) string {
+		name, rest, _ := strings.Cut(strings.TrimPrefix(section, "{{#"), "}}")
+		if values[name] == "" {
+			return ""
+		}
+		return rest[:strings.LastIndex(rest, "{{/")]
+	})
+	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(text, func(field string) string {
+		value, ok := values[strings.Trim(field, "{}")]
 		if !ok {
 			t.Errorf("template names %s", field)
 		}
 		return value
 	})
+}
+
+// Guards against a deploy template that the daemon refuses: a key that it does
+// not know, a missing one, or a value in the wrong form.
+func TestDeployTemplateGivesValidSettings(t *testing.T) {
+	is := is.New(t)
+	text := render(t, platformValues)
 	s, err := settings.ParseEntry("entry.ini", []byte(text))
 	is.NoErr(err)
 	is.Equal(s.Peer.String(), "10.1.0.10:7720")
 	is.Equal(len(s.Seeds), 2)
-	is.Equal(s.Recovery.Milliseconds(), int64(4000))
+	is.Equal([]time.Duration{s.Grace, s.Recovery, s.Drain, s.Apply, s.FlowLife}, []time.Duration{
+		7 * time.Second, 4500 * time.Millisecond, 2500 * time.Millisecond, 2 * time.Second, 50 * time.Second,
+	})
+	is.Equal(s.PeerListen, s.Peer)
 
-	empty := strings.Replace(text, platformValues["seeds"], "", 1)
-	s, err = settings.ParseEntry("entry.ini", []byte(empty))
+	// A site without seeds and without bounds.
+	few := maps.Clone(platformValues)
+	few["seeds"] = ""
+	maps.DeleteFunc(few, func(name, _ string) bool { return strings.HasPrefix(name, "bounds.") })
+	s, err = settings.ParseEntry("entry.ini", []byte(render(t, few)))
 	is.NoErr(err)
 	is.Equal(len(s.Seeds), 0)
+	is.Equal(s.Fresh(), 3*time.Second)
 }
 
 // Guards against a faulty file that starts a daemon, and against an error that
--- a/internal/cookie/engine_test.go
+++ b/internal/cookie/engine_test.go
@@ -218,7 +218,7 @@
 func TestNoServerLeft(t *testing.T) {
 	w := newWorld(t)
 	w.apply(directory.Change{Deleted: "10.0.0.1:80"}, directory.Change{Deleted: "10.0.0.2:80"})
-	w.builder.Expire(w.now.Add(directory.MissingGrace))
+	w.builder.Expire(w.now.Add(directory.DefaultKeep.Missing))
 	w.tables.use(w.builder)
 	w.is.True(w.send(Packet{Opens: true}).Reset)
 	w.is.True(!w.send(Packet{Opens: true, Aborts: true}).Reset)
--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -8,17 +8,29 @@
 	"time"
 )
 
-// Times for which servers are kept after their registration has vanished.
-const (
-	// MissingGrace is how long a server whose registration vanished without a
-	// drain still takes flows if its pool has no other server. Registrations that
-	// lapsed with the store are back within about 2 s of its return, and 3 s after
-	// a server has gone no flow may reach it.
-	MissingGrace = 2300 * time.Millisecond
-	// RetiredFor is how long packets of open flows still find a server whose
-	// registration has vanished: the longest life of a flow on the platform.
-	RetiredFor = 60 * time.Second
-)
+// Keep is for how long servers are kept after their registration has vanished.
+type Keep struct {
+	// Missing is how long a server whose registration vanished without a drain
+	// still takes flows if its pool has no other server.
+	Missing time.Duration
+	// Retired is how long packets of open flows still find a server whose
+	// registration has vanished.
+	Retired time.Duration
+}
+
+// lapseGrace covers registrations that lapsed with the store: they are back
+// within about 2 s of its return.
+const lapseGrace = 2300 * time.Millisecond
+
+// KeepFor returns the times for the bound within which a server that is gone gets
+// no new flows any more, and for the longest life of a flow. A fifth of the bound
+// is left for the news to spread.
+func KeepFor(drain, flowLife time.Duration) Keep {
+	return Keep{Missing: min(lapseGrace, drain*4/5), Retired: flowLife}
+}
+
+// DefaultKeep fits the bounds of the users' platform.
+var DefaultKeep = KeepFor(3*time.Second, time.Minute)
 
 // Change is one item of a registry. Exactly one of Config, Server, Deleted, VM,
 // DeletedVM and Problem is set.
@@ -58,6 +70,7 @@
 // Builder collects changes and builds directories. It is not safe for
 // concurrent use.
 type Builder struct {
+	keep     Keep
 	revision uint64
 	config   *Config
 	// routes belongs to config and is shared by the directories built from it: a
@@ -67,9 +80,12 @@
 	vms     map[netip.Addr]*VM
 }
 
-// NewBuilder returns a Builder that knows nothing.
-func NewBuilder() *Builder {
-	return &Builder{servers: map[string]*Server{}, vms: map[netip.Addr]*VM{}}
+// NewBuilder returns a Builder that knows nothing, with DefaultKeep.
+func NewBuilder() *Builder { return NewBuilderThatKeeps(DefaultKeep) }
+
+// NewBuilderThatKeeps returns a Builder that knows nothing.
+func NewBuilderThatKeeps(k Keep) *Builder {
+	return &Builder{keep: k, servers: map[string]*Server{}, vms: map[netip.Addr]*VM{}}
 }
 
 // Apply takes over changes that follow the present revision, which they bring
@@ -163,10 +179,10 @@
 	for name, s := range b.servers {
 		switch age := now.Sub(s.Missing); {
 		case s.Missing.IsZero():
-		case age >= RetiredFor:
+		case age >= b.keep.Retired:
 			delete(b.servers, name)
 			changed = true
-		case age >= MissingGrace && !s.Retired:
+		case age >= b.keep.Missing && !s.Retired:
 			gone := *s
 			gone.Retired = true
 			b.servers[name] = &gone
--- a/internal/directory/builder_test.go
+++ b/internal/directory/builder_test.go
@@ -62,7 +62,7 @@
 			is.Equal(d.ByCookie(3).Name, "i-1")
 
 			b.Apply([]Change{{Deleted: "i-1"}}, 31, start)
-			b.Expire(start.Add(MissingGrace))
+			b.Expire(start.Add(DefaultKeep.Missing))
 			is.Equal(names(b.Build().Candidates("p")), []string{"i-2"})
 		})
 	}
@@ -82,7 +82,7 @@
 	d = build(t, b, start.Add(time.Second), Change{Deleted: "i-1"})
 	is.Equal(d.ByCookie(1).Name, "i-1") // packets of open flows still find it
 	is.True(d.ByCookie(1).Retired)
-	d = build(t, b, start.Add(time.Second+RetiredFor))
+	d = build(t, b, start.Add(time.Second+DefaultKeep.Retired))
 	is.True(d.ByCookie(1) == nil)
 }
 
@@ -99,9 +99,9 @@
 	d = build(t, b, start.Add(2*time.Second), Change{Server: testServer("i-2", 2, 9)})
 	is.Equal(names(d.Candidates("p")), []string{"i-2"}) // a registered one goes first
 
-	d = build(t, b, start.Add(time.Second+MissingGrace), Change{Deleted: "i-2"})
+	d = build(t, b, start.Add(time.Second+DefaultKeep.Missing), Change{Deleted: "i-2"})
 	is.Equal(names(d.Candidates("p")), []string{"i-2"})
-	d = build(t, b, start.Add(time.Second+2*MissingGrace))
+	d = build(t, b, start.Add(time.Second+2*DefaultKeep.Missing))
 	is.Equal(len(d.Candidates("p")), 0)
 	is.True(d.ByCookie(1) != nil)
 }
@@ -115,7 +115,7 @@
 	late := start.Add(2 * time.Second)
 	d := build(t, b, late, Change{Deleted: "i-1", Read: start})
 	is.Equal(len(d.Candidates("p")), 1)
-	d = build(t, b, start.Add(MissingGrace))
+	d = build(t, b, start.Add(DefaultKeep.Missing))
 	is.Equal(len(d.Candidates("p")), 0)
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -98,11 +98,6 @@
 type Config struct {
 	Version uint64
 	Routes  []Route
-	// Connections is how many flows a server of the pool accepts.
-	Connections map[string]int
-	// IdleTimeout is after which a flow without packets may be forgotten; zero
-	// if the configuration has none.
-	IdleTimeout time.Duration
 }
 
 // Directory is one state of routes and servers. It is immutable.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -79,10 +79,11 @@
 
 // New opens the daemon's sockets. Call Run next.
 func New(o Options) (*Daemon, error) {
-	watch := registry.WatchTimesFor(o.Settings.Recovery)
+	watch := registry.WatchTimesFor(o.Settings.Recovery, o.Settings.Fresh())
 	d := &Daemon{options: o, killed: make(chan struct{}), placer: placement.New(o.Settings.Zone, rand.Uint64())}
 	d.follower = registry.NewFollower(registry.Options{
 		Source: o.Source, Decoder: o.Decoder, Log: o.Log, Metrics: o.Metrics, Watch: watch,
+		Keep:     directory.KeepFor(o.Settings.Drain, o.Settings.FlowLife),
 		Prefetch: func(ctx context.Context) bool { return d.exchange.Prefetch(ctx) },
 	})
 	d.engine = cookie.NewEngine(o.Codec, d.follower, d.placer, o.Metrics, o.Log)
@@ -114,7 +115,7 @@
 		return errors.Wrapf(err, "listen for readiness requests on %s", o.Settings.Ready)
 	}
 	peers, err := exchange.New(exchange.Options{
-		VM: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.Peer, Table: d.table,
+		VM: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.PeerListen, Table: d.table,
 		Follower: d.follower, Placer: d.placer, Metrics: o.Metrics, Log: o.Log,
 	})
 	if err != nil {
--- a/internal/exchange/freshness_test.go
+++ b/internal/exchange/freshness_test.go
@@ -18,12 +18,8 @@
 	"knapweedshore.example/internal/registry"
 )
 
-// freshBound is within which a change is in force, and recoveryTime how long
-// after a fault that holds again, both as on the users' platform.
-const (
-	freshBound   = 3 * time.Second
-	recoveryTime = 4 * time.Second
-)
+// recoveryTime is how long after a fault changes are in force in time again.
+const recoveryTime = 4 * time.Second
 
 // sharedStore is the platform's store of a model: one history for all daemons.
 type sharedStore struct {
@@ -148,6 +144,8 @@
 
 // model is a region of daemons.
 type model struct {
+	// fresh is within which a change is in force.
+	fresh   time.Duration
 	daemons []*modelDaemon
 	byAddr  map[netip.Addr]*modelDaemon
 	// cutOff is the zone that is cut off from the others, -1 for none.
@@ -167,10 +165,10 @@
 	arrives time.Time
 }
 
-func newModel(store *sharedStore, zones []int) *model {
-	m := &model{byAddr: map[netip.Addr]*modelDaemon{}, cutOff: -1}
+func newModel(store *sharedStore, zones []int, fresh time.Duration) *model {
+	m := &model{fresh: fresh, byAddr: map[netip.Addr]*modelDaemon{}, cutOff: -1}
 	b := directory.NewBuilder()
-	watch := registry.WatchTimesFor(recoveryTime)
+	watch := registry.WatchTimesFor(recoveryTime, fresh)
 	for zone, n := range zones {
 		for i := range n {
 			d := &modelDaemon{addr: addr(zone, i+1), zone: zone, link: &storeLink{store: store, state: served, broken: make(chan struct{})}}
@@ -261,7 +259,7 @@
 func (m *model) check(now time.Time) {
 	due := uint64(0)
 	for i, at := range m.written {
-		if now.Sub(at) > freshBound {
+		if now.Sub(at) > m.fresh {
 			due = uint64(i + 1)
 		}
 	}
@@ -277,7 +275,7 @@
 			m.problem = fmt.Sprintf("%s went back from version %d, revision %d to version %d, revision %d",
 				d.addr, d.version, d.revision, version, d.follower.Revision())
 		case inTouch && version < due:
-			m.problem = fmt.Sprintf("%s acts on version %d for more than %s after version %d was written", d.addr, version, freshBound, due)
+			m.problem = fmt.Sprintf("%s acts on version %d for more than %s after version %d was written", d.addr, version, m.fresh, due)
 		}
 		d.version, d.revision = version, d.follower.Revision()
 	}
@@ -298,9 +296,9 @@
 }
 
 // play runs a region through faults and returns the first broken promise.
-func play(zones []int, faults []fault) string {
+func play(zones []int, fresh time.Duration, faults []fault) string {
 	store := &sharedStore{changed: make(chan struct{})}
-	m := newModel(store, zones)
+	m := newModel(store, zones, fresh)
 	write := func() {
 		m.written = append(m.written, time.Now())
 		store.put("config", fmt.Sprint(len(m.written)))
@@ -341,7 +339,7 @@
 			pass(pause)
 			write()
 		}
-		pass(recoveryTime + time.Second)
+		pass(recoveryTime + fresh)
 	}
 	stop()
 	running.Wait()
@@ -355,6 +353,7 @@
 func TestChangesAreInForceInTime(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		zones := rapid.SliceOfN(rapid.IntRange(1, 4), 1, 4).Draw(rt, "daemons of each zone")
+		fresh := time.Duration(rapid.SampledFrom([]int{2, 3, 5}).Draw(rt, "bound")) * time.Second
 		faults := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) fault {
 			return fault{
 				After:  time.Duration(rapid.IntRange(0, 60).Draw(rt, "after")) * 100 * time.Millisecond,
@@ -368,7 +367,7 @@
 			}
 		}), 1, 3).Draw(rt, "faults")
 		problem := ""
-		synctest.Test(t, func(*testing.T) { problem = play(zones, faults) })
+		synctest.Test(t, func(*testing.T) { problem = play(zones, fresh, faults) })
 		if problem != "" {
 			rt.Fatal(problem)
 		}
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -79,6 +79,8 @@
 	Metrics *metrics.Registry
 	// Watch bounds the silence of a watch.
 	Watch WatchTimes
+	// Keep is for how long servers are kept; zero is directory.DefaultKeep.
+	Keep directory.Keep
 	// Prefetch, if set, asks the peers for a complete directory before the store
 	// is asked, and reports whether it was offered.
 	Prefetch func(ctx context.Context) bool
@@ -93,11 +95,13 @@
 	Slack time.Duration
 }
 
-// WatchTimesFor returns the times for a recovery time. A connection that went
-// silent alone is replaced after half of it, so that a change which it should
-// have told is in force in time: 2 s of the platform's 3 s.
-func WatchTimesFor(recovery time.Duration) WatchTimes {
-	return WatchTimes{Wait: recovery * 3 / 8, Slack: recovery / 8}
+// WatchTimesFor returns the times for a recovery time after failures, and for the
+// time within which changes are acted upon. A connection that went silent alone is
+// replaced after two thirds of the shorter one, so that the changes that it should
+// have told are still in time: 2 s of the platform's 3 s.
+func WatchTimesFor(recovery, fresh time.Duration) WatchTimes {
+	window := min(recovery*3/4, fresh)
+	return WatchTimes{Wait: window / 2, Slack: window / 6}
 }
 
 // MaxAge is the age of a directory that no working watch exceeds.
@@ -108,9 +112,12 @@
 	if o.Prefetch == nil {
 		o.Prefetch = func(context.Context) bool { return false }
 	}
+	if o.Keep == (directory.Keep{}) {
+		o.Keep = directory.DefaultKeep
+	}
 	return &Follower{
 		epoch: time.Now(), watchTimes: o.Watch, prefetch: o.Prefetch, source: o.Source, decoder: o.Decoder, log: o.Log, metrics: o.Metrics,
-		state: NewState(), builder: directory.NewBuilder(),
+		state: NewState(), builder: directory.NewBuilderThatKeeps(o.Keep),
 	}
 }
 
--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -191,10 +191,13 @@
 // recovery is the time of the follower under test, as on the users' platform.
 const recovery = 4 * time.Second
 
+// fresh is within which changes are acted upon there.
+const fresh = 3 * time.Second
+
 func startFollower(t *testing.T, s Source, duty Duty) (f *Follower, stop func()) {
 	t.Helper()
 	f = NewFollower(Options{
-		Source: s, Decoder: fakeDecoder{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Watch: WatchTimesFor(recovery),
+		Source: s, Decoder: fakeDecoder{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Watch: WatchTimesFor(recovery, fresh),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -228,7 +231,7 @@
 
 		s.calls()
 		time.Sleep(time.Minute)
-		is.True(s.calls() <= int(time.Minute/WatchTimesFor(recovery).Wait)+1)
+		is.True(s.calls() <= int(time.Minute/WatchTimesFor(recovery, fresh).Wait)+1)
 	})
 }
 
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -20,9 +20,12 @@
 	// them.
 	Data  netip.AddrPort
 	Ready netip.AddrPort
-	// Peer is the UDP address for the other daemons. All daemons use the same
-	// port.
+	// Peer is the UDP and TCP address by which the other daemons know this one. All
+	// daemons use the same port.
 	Peer netip.AddrPort
+	// PeerListen is the address that is bound for them. It differs from Peer if
+	// addresses are translated on the way.
+	PeerListen netip.AddrPort
 	// Metrics is where expvar is served.
 	Metrics netip.AddrPort
 	// Store is the address of the platform's key-value service.
@@ -35,6 +38,11 @@
 	// Recovery is within which the directory has to be current again after a
 	// failure of the network or the store has ended.
 	Recovery time.Duration
+	// Drain is within which a server that drains gets no new flows any more, and
+	// Apply within which a configuration is in force.
+	Drain, Apply time.Duration
+	// FlowLife is the longest life of a flow.
+	FlowLife time.Duration
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
@@ -57,9 +65,16 @@
 	if err := p.err(); err != nil {
 		return nil, err
 	}
-	return &p.draft.entry, nil
+	e := &p.draft.entry
+	if !e.PeerListen.IsValid() {
+		e.PeerListen = e.Peer
+	}
+	return e, nil
 }
 
+// Fresh is within which a change in the store is acted upon, whatever it is.
+func (e *Entry) Fresh() time.Duration { return min(e.Drain, e.Apply) }
+
 // EntryKeys returns every key of the settings file of an entry daemon in the
 // order of the reference.
 func EntryKeys() []Key { return entryKeys }
@@ -84,6 +99,9 @@
 	{Section: "addresses", Name: "peer", Required: true,
 		Meaning: "UDP address for the other daemons; the port is the same on all VMs",
 		set:     func(s *draft, v string) string { return remoteAddress(&s.entry.Peer, v) }},
+	{Section: "addresses", Name: "peer_listen", Default: "",
+		Meaning: "UDP and TCP address to bind for the other daemons, if addresses are translated on the way; the same as peer without it",
+		set:     func(s *draft, v string) string { return optionalAddress(&s.entry.PeerListen, v) }},
 	{Section: "addresses", Name: "metrics", Default: "127.0.0.1:7480",
 		Meaning: "TCP address where counters are served over HTTP at /debug/vars",
 		set:     func(s *draft, v string) string { return address(&s.entry.Metrics, v) }},
@@ -102,16 +120,27 @@
 		Meaning: "milliseconds after the end of a failure of the network or the store until the daemon must have the newest directory",
 		set:     func(s *draft, v string) string { return duration(&s.entry.Recovery, v, time.Millisecond, maxRecovery) }},
 
+	{Section: "limits", Name: "drain_ms", Default: "3000",
+		Meaning: "milliseconds after which a server that drains gets no new flows any more",
+		set:     func(s *draft, v string) string { return duration(&s.entry.Drain, v, time.Millisecond, maxRecovery) }},
+	{Section: "limits", Name: "config_ms", Default: "3000",
+		Meaning: "milliseconds within which a new configuration is in force",
+		set:     func(s *draft, v string) string { return duration(&s.entry.Apply, v, time.Millisecond, maxRecovery) }},
+	{Section: "limits", Name: "flow_life_s", Default: "60",
+		Meaning: "longest life of a flow in seconds; packets find a server that is gone for as long",
+		set:     func(s *draft, v string) string { return duration(&s.entry.FlowLife, v, time.Second, maxFlowLife) }},
+
 	{Section: "log", Name: "level", Default: "info",
 		Meaning: "lowest level that is logged: debug, info, warn or error",
 		set:     func(s *draft, v string) string { return level(&s.entry.LogLevel, v) }},
 }
 
-// Bounds of settings: what service managers allow, and the longest silence of
-// a watch that the store allows.
+// Bounds of settings: what service managers allow, the longest silence of a
+// watch that the store allows, and a day.
 const (
 	maxGrace    = time.Hour
 	maxRecovery = 40 * time.Second
+	maxFlowLife = 24 * time.Hour
 )
 
 // duration accepts a positive number of units, which may have a fraction.
@@ -142,7 +171,11 @@
 	note("addresses.peer", e.Peer != next.Peer)
 	note("addresses.metrics", e.Metrics != next.Metrics)
 	note("addresses.store", e.Store != next.Store)
+	note("addresses.peer_listen", e.PeerListen != next.PeerListen)
 	note("limits.grace_s", e.Grace != next.Grace)
 	note("limits.recovery_ms", e.Recovery != next.Recovery)
+	note("limits.drain_ms", e.Drain != next.Drain)
+	note("limits.config_ms", e.Apply != next.Apply)
+	note("limits.flow_life_s", e.FlowLife != next.FlowLife)
 	return changed
 }
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -71,6 +71,14 @@
 	return ""
 }
 
+// optionalAddress accepts an address or nothing.
+func optionalAddress(to *netip.AddrPort, v string) string {
+	if v == "" {
+		return ""
+	}
+	return address(to, v)
+}
+
 // remoteAddress accepts an address that other VMs can send to.
 func remoteAddress(to *netip.AddrPort, v string) string {
 	var a netip.AddrPort
--- a/standin/entrysite/site.go
+++ b/standin/entrysite/site.go
@@ -178,9 +178,10 @@
 	n := byte(len(s.daemons) + 1)
 	m := &machine{endpoint: endpoint, settings: &settings.Entry{
 		Name: fmt.Sprint("entry-", n), Region: "region", Zone: zone, Data: s.addr(daemonGroup, n, dataPort),
-		Ready: s.addr(daemonGroup, n, readyPort), Peer: s.addr(daemonGroup, n, peerPort), Store: endpoint.Addr(),
+		Ready: s.addr(daemonGroup, n, readyPort), Peer: s.addr(daemonGroup, n, peerPort),
+		PeerListen: s.addr(daemonGroup, n, peerPort), Store: endpoint.Addr(),
 		Seeds: []netip.AddrPort{s.addr(daemonGroup, 1, peerPort), s.addr(daemonGroup, 2, peerPort)},
-		Grace: grace, Recovery: 4 * time.Second, LogLevel: "info",
+		Grace: grace, Recovery: 4 * time.Second, Drain: 3 * time.Second, Apply: 3 * time.Second, FlowLife: time.Minute, LogLevel: "info",
 	}}
 	s.daemons = append(s.daemons, m)
 	s.router.add(m.settings.Data, m.settings.Ready)
