Give each site of stand-ins a loopback network of its own

Cause: the tests of internal/entry drew a network from the process id and the site of entry daemons one from its seed. In one run of all tests both drew 127.111 and TestFlowSurvivesItsDaemon failed to bind its port.

Change: a site claims a network by a listener that holds it.

--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -42,7 +42,7 @@
 type site struct {
 	t       *testing.T
 	store   *platform.Store
-	network byte
+	network *platform.Network
 	daemons []*daemon
 	caller  *platform.Caller
 }
@@ -55,13 +55,14 @@
 	done     chan struct{}
 }
 
-// networks gives each test its own addresses: 127.N.*.*.
-var networks = byte(20 + os.Getpid()%200)
-
 func newSite(t *testing.T) *site {
 	t.Helper()
-	networks++
-	s := &site{t: t, store: platform.NewStore(), network: networks}
+	network, err := platform.ClaimNetwork()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(network.Release)
+	s := &site{t: t, store: platform.NewStore(), network: network}
 	caller, err := platform.NewCaller(s.addr(9, 1, dataPort), 5*time.Second)
 	s.check(err)
 	t.Cleanup(caller.Close)
@@ -78,7 +79,7 @@
 }
 
 func (s *site) addr(group, n byte, port uint16) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.network, group, n}), port)
+	return s.network.Addr(group, n, port)
 }
 
 // configure writes a configuration with routes to service "s" at addresses.
--- a/standin/entrysite/site.go
+++ b/standin/entrysite/site.go
@@ -32,7 +32,7 @@
 	serverPort = 8080
 )
 
-// Groups of addresses: 127.NETWORK.GROUP.NUMBER.
+// Groups of addresses in the site's network.
 const (
 	daemonGroup  = 1
 	serverGroup  = 2
@@ -76,7 +76,7 @@
 type site struct {
 	config   Config
 	progress func(string)
-	network  byte
+	network  *platform.Network
 	random   *rand.Rand
 	store    *platform.Store
 	daemons  []*machine
@@ -100,8 +100,13 @@
 
 // Run plays the site and returns what was seen.
 func Run(ctx context.Context, c Config, progress func(string)) (*Summary, error) {
+	network, err := platform.ClaimNetwork()
+	if err != nil {
+		return nil, err
+	}
+	defer network.Release()
 	s := &site{
-		config: c, progress: progress, network: byte(10 + c.Seed%200),
+		config: c, progress: progress, network: network,
 		random: rand.New(rand.NewPCG(c.Seed, 0)), store: platform.NewStore(),
 	}
 	defer s.close()
@@ -127,9 +132,7 @@
 	return s.report.summary(s.servers, time.Since(began)), nil
 }
 
-func (s *site) addr(group, n byte, port uint16) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.network, group, n}), port)
-}
+func (s *site) addr(group, n byte, port uint16) netip.AddrPort { return s.network.Addr(group, n, port) }
 
 func zoneName(zone int) string { return fmt.Sprint("zone-", zone) }
 
--- a/standin/entrysite/site_test.go
+++ b/standin/entrysite/site_test.go
@@ -26,7 +26,10 @@
 // Guards against a judgement that passes over what went wrong.
 func TestSummaryNamesWhatWentWrong(t *testing.T) {
 	is := is.New(t)
-	server, err := platform.NewBackend((&site{network: 9}).addr(serverGroup, 1, serverPort), 1, counterPool, zoneName(0), dataPort)
+	network, err := platform.ClaimNetwork()
+	is.NoErr(err)
+	defer network.Release()
+	server, err := platform.NewBackend(network.Addr(serverGroup, 1, serverPort), 1, counterPool, zoneName(0), dataPort)
 	is.NoErr(err)
 	defer server.Close()
 	servers := []*platform.Backend{server}
