Add a soak that injects random faults into real processes

knapweedshored soak starts entry daemons as processes on loopback addresses, with callers, servers, store and relays of all links in its own process, and checks the promises while faults come in series and overlap. docs/soak.md says which faults and promises. The stand-ins come closer to the protocol for it: copies of opening packets are counted, a flow is open at the server that the caller has acknowledged, resets of daemons and of servers are told apart.

--- a/cmd/knapweedshored/app.go
+++ b/cmd/knapweedshored/app.go
@@ -20,10 +20,11 @@
   knapweedshored dev
   knapweedshored dev --site quesada --seed 7 --output json
   knapweedshored bench --site quesada --setting steady
+  knapweedshored soak --seeds 10
 
 Exit codes:
   0  done
-  1  failure, or dev has seen a broken promise
+  1  failure, or dev or soak has seen a broken promise
   2  wrong usage`
 
 // Exit codes, documented in the help of the root command.
@@ -56,7 +57,7 @@
 		Suggest:               true,
 		Writer:                out,
 		ErrWriter:             errOut,
-		Commands:              []*cli.Command{runCommand(), entryCommand(), checkCommand(), devCommand(), benchCommand()},
+		Commands:              []*cli.Command{runCommand(), entryCommand(), checkCommand(), devCommand(), benchCommand(), soakCommand()},
 		Action:                usage.MissingCommand,
 		// run prints the error and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/cmd/knapweedshored/entry.go
+++ b/cmd/knapweedshored/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"os/signal"
@@ -44,7 +45,12 @@
 }
 
 func runEntry(ctx context.Context, cmd *cli.Command) error {
-	path := cmd.String("config")
+	return serveEntry(ctx, cmd.String("config"), cmd.Root().Writer, func(o entry.Options) entry.Options { return o })
+}
+
+// serveEntry runs a daemon with a settings file until a signal ends it. adapt may
+// change what the daemon is built from.
+func serveEntry(ctx context.Context, path string, out io.Writer, adapt func(entry.Options) entry.Options) error {
 	s, err := settings.LoadEntry(path)
 	if err != nil {
 		return err
@@ -53,16 +59,16 @@
 	if err != nil {
 		return errors.Wrap(err, "log level")
 	}
-	output := events.NewWriter(cmd.Root().Writer)
+	output := events.NewWriter(out)
 	defer output.Close()
 	log := events.New(newLoggerAt(level, zapcore.AddSync(output))).With(zap.String("vm", s.Name))
 	registry := metrics.NewRegistry()
 	store := platform.NewStore(s.Store)
 	defer store.Close()
-	d, err := entry.New(entry.Options{
+	d, err := entry.New(adapt(entry.Options{
 		Settings: s, Source: store, Decoder: platform.Decoder{}, Codec: platform.Codec{},
 		ReadyPattern: platform.ReadyPattern, Metrics: registry, Log: log,
-	})
+	}))
 	if err != nil {
 		return err
 	}
--- a/cmd/knapweedshored/process_test.go
+++ b/cmd/knapweedshored/process_test.go
@@ -30,6 +30,9 @@
 	if config := os.Getenv(configVariable); config != "" {
 		os.Exit(run(context.Background(), []string{"knapweedshored", "run", "--config", config}, os.Stdout, os.Stderr))
 	}
+	if config := os.Getenv(entryVariable); config != "" {
+		os.Exit(serveDefectiveEntry(config, os.Getenv(defectVariable)))
+	}
 	os.Exit(m.Run())
 }
 
--- a/standin/entrysite/changes.go
+++ b/standin/entrysite/changes.go
@@ -82,7 +82,7 @@
 	if err := m.start(); err != nil {
 		return err
 	}
-	return s.await(ctx, "restarted daemon in rotation", 5*time.Second, func() bool { return s.router.inRotation() == len(s.daemons) })
+	return s.await(ctx, "restarted daemon in rotation", 5*time.Second, func() bool { return s.router.InRotation() == len(s.daemons) })
 }
 
 func (s *site) restartAll(ctx context.Context) error {
@@ -131,7 +131,7 @@
 	if err := m.start(); err != nil {
 		return err
 	}
-	err := s.await(ctx, "crashed daemon in rotation again", 5*time.Second, func() bool { return s.router.inRotation() == len(s.daemons) })
+	err := s.await(ctx, "crashed daemon in rotation again", 5*time.Second, func() bool { return s.router.InRotation() == len(s.daemons) })
 	for _, m := range s.daemons {
 		m.endpoint.Set(platform.None)
 	}
--- a/standin/entrysite/site.go
+++ b/standin/entrysite/site.go
@@ -80,7 +80,7 @@
 	random   *rand.Rand
 	store    *platform.Store
 	daemons  []*machine
-	router   *router
+	router   *platform.Rotation
 	report   report
 	// checks run beside the changes and end with the run.
 	checks sync.WaitGroup
@@ -148,7 +148,7 @@
 			}
 		}
 	}
-	s.router = newRouter(s.config.Seed)
+	s.router = platform.NewRotation(s.config.Seed)
 	for zone := range zones {
 		for range daemonsPerZone {
 			if err := s.addMachine(zoneName(zone)); err != nil {
@@ -156,8 +156,8 @@
 			}
 		}
 	}
-	go s.router.poll(ctx)
-	return s.await(ctx, "all daemons ready", 10*time.Second, func() bool { return s.router.inRotation() == len(s.daemons) })
+	go s.router.Poll(ctx)
+	return s.await(ctx, "all daemons ready", 10*time.Second, func() bool { return s.router.InRotation() == len(s.daemons) })
 }
 
 func (s *site) addServer(pool, zone string) error {
@@ -187,7 +187,7 @@
 		Grace: grace, Recovery: 4 * time.Second, Drain: 3 * time.Second, Apply: 3 * time.Second, FlowLife: time.Minute, LogLevel: "info",
 	}}
 	s.daemons = append(s.daemons, m)
-	s.router.add(m.settings.Data, m.settings.Ready)
+	s.router.Add(m.settings.Data, m.settings.Ready)
 	return m.start()
 }
 
--- a/standin/platform/backend.go
+++ b/standin/platform/backend.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"sync"
@@ -26,12 +27,18 @@
 	// Born is its start in Unix milliseconds.
 	Born int64
 
+	// Endpoint is the address under which the server registers, if packets reach
+	// it through another one.
+	Endpoint netip.AddrPort
+
 	callerPort uint16
 	conn       *net.UDPConn
 
-	mu       sync.Mutex
-	deaf     bool
-	flows    map[[2]netip.AddrPort]*backendFlow
+	mu    sync.Mutex
+	deaf  bool
+	flows map[[2]netip.AddrPort]*backendFlow
+	// executed counts how often each request was run.
+	executed map[string]int
 	requests int
 	forged   int
 	strays   int
@@ -40,7 +47,10 @@
 }
 
 type backendFlow struct {
-	seq uint32
+	// seq is the sequence number by which the caller names this server: the flow is
+	// open when the caller has acknowledged it.
+	seq  uint32
+	open bool
 	// next is the sequence number of the request that comes next; response is
 	// the last one, for a request that is repeated.
 	next     uint32
@@ -55,7 +65,7 @@
 	}
 	b := &Backend{
 		ID: fmt.Sprintf("i-%08x", number), Number: number, Pool: pool, Zone: zone, Born: time.Now().UnixMilli(),
-		callerPort: callerPort, conn: conn, flows: map[[2]netip.AddrPort]*backendFlow{},
+		Endpoint: addr, callerPort: callerPort, conn: conn, flows: map[[2]netip.AddrPort]*backendFlow{}, executed: map[string]int{},
 	}
 	go b.run()
 	return b, nil
@@ -87,6 +97,13 @@
 	return b.requests, b.forged, b.strays
 }
 
+// Executed returns how often each request was run.
+func (b *Backend) Executed() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.executed)
+}
+
 // LastOpened returns when the last flow was opened.
 func (b *Backend) LastOpened() time.Time {
 	b.mu.Lock()
@@ -100,7 +117,7 @@
 // Entry returns the registration in a state.
 func (b *Backend) Entry(state string) []byte {
 	value, err := json.Marshal(map[string]any{
-		"service": b.Pool, "address": b.conn.LocalAddr().String(), "zone": b.Zone, "version": "v1", "slots": 2,
+		"service": b.Pool, "address": b.Endpoint.String(), "zone": b.Zone, "version": "v1", "slots": 2,
 		"state": state, "cold_remaining_ms": 0, "seq": 1, "born": b.Born,
 	})
 	if err != nil {
@@ -142,13 +159,13 @@
 	f := b.flows[id]
 	switch {
 	case p.Flags&SYN != 0 && f == nil:
-		f = &backendFlow{seq: uint32(b.Number), next: p.Seq + 1}
+		f = &backendFlow{seq: uint32(b.Number) * sequenceSpread, next: p.Seq + 1}
 		b.flows[id] = f
 		b.lastOpened = time.Now()
 		b.reply(p, Packet{Seq: f.seq, Flags: SYN | ACK})
 	case p.Flags&SYN != 0:
 		b.reply(p, Packet{Seq: f.seq, Flags: SYN | ACK})
-	case f == nil:
+	case f == nil || !f.holds(p):
 		b.reply(p, Packet{Flags: RST})
 	case p.Flags&FIN != 0:
 		delete(b.flows, id)
@@ -156,6 +173,7 @@
 	case len(p.Data) > 0:
 		if p.Seq == f.next {
 			b.requests++
+			b.executed[string(p.Data)]++
 			f.next += uint32(len(p.Data))
 			f.response = append([]byte(b.ID+" "), p.Data...)
 		}
@@ -163,6 +181,16 @@
 	}
 }
 
+// sequenceSpread keeps the sequence numbers of servers far apart.
+const sequenceSpread = 2654435761
+
+// holds reports whether the flow is open here: the caller may have acknowledged
+// another server that has accepted it too.
+func (f *backendFlow) holds(p Packet) bool {
+	f.open = f.open || p.Ack == f.seq
+	return f.open
+}
+
 func (b *Backend) reply(to, p Packet) {
 	p.Src, p.Dst, p.Echo = to.Dst, to.Src, to.Echo
 	p.Ack = to.Seq + uint32(len(to.Data))
--- a/standin/platform/caller.go
+++ b/standin/platform/caller.go
@@ -8,8 +8,15 @@
 	"github.com/go-faster/errors"
 )
 
-// ErrReset is the result of a flow that was reset.
-var ErrReset = errors.New("flow was reset")
+// Results of a flow that was reset.
+var (
+	// ErrReset is a reset by a daemon.
+	ErrReset = errors.New("flow was reset by a daemon")
+	// ErrServerReset is a reset by a server, which does not hold the flow.
+	ErrServerReset = errors.New("flow was reset by a server")
+	// ErrNoAnswer means that nothing came back in time.
+	ErrNoAnswer = errors.New("no answer")
+)
 
 // Caller opens flows from one loopback address.
 type Caller struct {
@@ -43,6 +50,9 @@
 // Pick implements Router.
 func (v Via) Pick() netip.AddrPort { return netip.AddrPort(v) }
 
+// String returns the end of the flow at the caller.
+func (f *Flow) String() string { return f.src.String() }
+
 // Flow is one open flow.
 type Flow struct {
 	caller  *Caller
@@ -92,7 +102,10 @@
 func (f *Flow) exchange(route Router, p Packet) (Packet, error) {
 	buffer := make([]byte, 2048)
 	deadline := time.Now().Add(f.caller.timeout)
-	for time.Now().Before(deadline) {
+	for copies := uint32(0); time.Now().Before(deadline); copies++ {
+		if p.Flags&SYN != 0 {
+			p.Ack = copies
+		}
 		if err := f.send(route, p); err != nil {
 			return Packet{}, err
 		}
@@ -110,7 +123,7 @@
 			}
 		}
 	}
-	return Packet{}, errors.New("no answer")
+	return Packet{}, ErrNoAnswer
 }
 
 // answers reports whether p is the answer to a packet, and not to a copy of an
@@ -145,6 +158,9 @@
 		if p.Src != f.service || p.Dst != f.src {
 			continue // of an earlier flow
 		}
+		if p.Flags&RST != 0 && p.Genuine {
+			return p, false, ErrServerReset
+		}
 		if p.Flags&RST != 0 {
 			return p, false, ErrReset
 		}
--- a/standin/entrysite/router.go
+++ b/standin/platform/router.go
@@ -1,4 +1,4 @@
-package entrysite
+package platform
 
 import (
 	"context"
@@ -12,13 +12,16 @@
 // Times of the platform's routers.
 const (
 	pollInterval = 500 * time.Millisecond
+	// readyTimeout keeps a daemon that does not answer from delaying the next poll.
+	readyTimeout = 400 * time.Millisecond
 	// missesAllowed in a row take a daemon out of the rotation.
 	missesAllowed = 2
 )
 
-// router spreads the packets over the daemons in rotation. It draws a daemon for
-// each packet, which is harder on the daemons than the platform's hashing.
-type router struct {
+// Rotation is a Router that spreads the packets over the daemons that are ready.
+// It draws a daemon for each packet, which is harder on the daemons than the
+// platform's hashing.
+type Rotation struct {
 	client http.Client
 
 	mu      sync.Mutex
@@ -31,21 +34,23 @@
 	misses      int
 }
 
-func newRouter(seed uint64) *router {
-	return &router{
+// NewRotation returns a Rotation without daemons.
+func NewRotation(seed uint64) *Rotation {
+	return &Rotation{
 		random: rand.New(rand.NewPCG(seed, 1)),
-		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: pollInterval},
+		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: readyTimeout},
 	}
 }
 
-func (r *router) add(data, ready netip.AddrPort) {
+// Add makes a daemon known, which is out of the rotation until it is ready.
+func (r *Rotation) Add(data, ready netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.targets = append(r.targets, &target{data: data, ready: ready, misses: missesAllowed})
 }
 
 // Pick implements platform.Router.
-func (r *router) Pick() netip.AddrPort {
+func (r *Rotation) Pick() netip.AddrPort {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var in []netip.AddrPort
@@ -60,7 +65,8 @@
 	return in[r.random.IntN(len(in))]
 }
 
-func (r *router) inRotation() int {
+// InRotation returns how many daemons get packets.
+func (r *Rotation) InRotation() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 0
@@ -72,24 +78,19 @@
 	return n
 }
 
-// poll asks all daemons whether they are ready until ctx ends.
-func (r *router) poll(ctx context.Context) {
+// Poll asks all daemons whether they are ready until ctx ends.
+func (r *Rotation) Poll(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
 		r.mu.Lock()
 		targets := append([]*target(nil), r.targets...)
 		r.mu.Unlock()
+		var asking sync.WaitGroup
 		for _, t := range targets {
-			ready := r.ready(ctx, t.ready)
-			r.mu.Lock()
-			if ready {
-				t.misses = 0
-			} else {
-				t.misses++
-			}
-			r.mu.Unlock()
+			asking.Go(func() { r.ask(ctx, t) })
 		}
+		asking.Wait()
 		select {
 		case <-ctx.Done():
 			return
@@ -98,7 +99,18 @@
 	}
 }
 
-func (r *router) ready(ctx context.Context, a netip.AddrPort) bool {
+func (r *Rotation) ask(ctx context.Context, t *target) {
+	ready := r.ready(ctx, t.ready)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ready {
+		t.misses = 0
+	} else {
+		t.misses++
+	}
+}
+
+func (r *Rotation) ready(ctx context.Context, a netip.AddrPort) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+"/ready", nil)
 	if err != nil {
 		return false
--- /dev/null
+++ b/standin/soak/soak.go
@@ -0,0 +1,126 @@
+// Package soak runs a site of entry daemons as separate processes, injects faults
+// from outside them, and checks the promises of the project while it runs, from
+// what callers and backend servers see. docs/soak.md describes it.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Config says what to run.
+type Config struct {
+	// Seed determines the schedule and the callers' choices.
+	Seed uint64
+	// Faults is for how long faults begin.
+	Faults time.Duration
+	// Zones and Daemons in each of them.
+	Zones, Daemons int
+	// Only lists the steps of the schedule to play; all if it is empty.
+	Only []int
+	// Memory is the limit of a process in bytes; 0 for none.
+	Memory int64
+	// Command starts a daemon with a settings file.
+	Command func(settings string) (path string, args, env []string)
+	// Out is the directory for the schedule and the logs of a run that failed.
+	Out string
+	// Progress is told what happens.
+	Progress func(line string)
+}
+
+// MachineMemory is the memory of the platform's smallest machines in bytes.
+const MachineMemory = 98 << 20
+
+// Times of a run.
+const (
+	// startTime is for the daemons to be ready and for callers to open flows before
+	// the first fault.
+	startTime = 2 * time.Second
+	// recoveryBound is within which a quarter of the requests has to be served
+	// after the final fault; recoveryTime is within which daemons are in touch and
+	// the directory of each is current after a fault.
+	recoveryBound = 12 * time.Second
+	recoveryTime  = 4 * time.Second
+	// readyBound is within which a daemon that starts is in the rotation.
+	readyBound = 10 * time.Second
+)
+
+// Run plays one seed and returns what was seen. The error tells why a run could
+// not be played; broken promises stand in the report.
+func Run(ctx context.Context, c Config) (*Report, error) {
+	dir, err := os.MkdirTemp("", "knapweedshore-soak-")
+	if err != nil {
+		return nil, errors.Wrap(err, "make a directory for the settings")
+	}
+	defer func() { _ = os.RemoveAll(dir) }() // it holds settings and logs of a run that is over
+	schedule := NewSchedule(c.Seed, c.Faults, c.Zones, c.Daemons).Only(c.Only)
+	s, err := newSite(c, dir)
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	err = s.play(ctx, schedule)
+	s.close()
+	if err != nil {
+		return nil, err
+	}
+	report := s.judge.report(s, time.Since(began))
+	report.Schedule = schedule
+	if !report.OK() && c.Out != "" {
+		report.Folder = filepath.Join(c.Out, fmt.Sprintf("seed-%d", c.Seed))
+		if err := report.save(dir); err != nil {
+			return report, err
+		}
+	}
+	return report, nil
+}
+
+// play runs the traffic and the schedule.
+func (s *site) play(ctx context.Context, schedule Schedule) error {
+	if err := s.start(ctx); err != nil {
+		return err
+	}
+	traffic, stopTraffic := context.WithCancel(ctx)
+	defer stopTraffic()
+	s.startCallers(traffic)
+	if !sleep(ctx, startTime) {
+		return ctx.Err()
+	}
+	s.inject(ctx, schedule)
+	s.finalFault(ctx)
+	s.checkRecovery(ctx)
+	stopTraffic()
+	s.callers.Wait()
+	return ctx.Err()
+}
+
+// inject begins each step at its time. Steps overlap: each runs beside the others
+// until it has ended itself.
+func (s *site) inject(ctx context.Context, schedule Schedule) {
+	began := time.Now()
+	for _, step := range schedule {
+		if !sleep(ctx, time.Until(began.Add(step.At))) {
+			break
+		}
+		s.config.Progress(step.String())
+		s.steps.Go(func() { kinds[step.Kind].run(ctx, s, step) })
+	}
+	s.steps.Wait()
+}
+
+// sleep waits and reports false if ctx has ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/standin/soak/steps.go
@@ -0,0 +1,438 @@
+package soak
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"knapweedshore.example/standin/platform"
+)
+
+// kind is a kind of step; weight is how often it is drawn.
+type kind struct {
+	weight int
+	run    func(ctx context.Context, s *site, step Step)
+	// wholeStore kinds impair the store for all daemons, so that none is in touch and
+	// the promises with a bound do not hold.
+	wholeStore bool
+}
+
+// kinds are all kinds of steps by their names.
+var kinds = map[string]kind{
+	"restart daemons in turn":       {4, restartInTurn, false},
+	"kill daemons":                  {3, killDaemons, false},
+	"freeze a daemon":               {3, freezeDaemon, false},
+	"hang up and change settings":   {1, hangUp, false},
+	"cut a zone off":                {2, cutZone, false},
+	"cut a daemon off one way":      {2, cutOneWay, false},
+	"delay a daemon's links":        {2, delayLinks, false},
+	"cut daemons off the store":     {2, cutStore, false},
+	"refuse daemons at the store":   {3, refuseDaemons, false},
+	"take the store away":           {2, takeStoreAway, true},
+	"slow the store":                {1, slowStore, true},
+	"lose answers of the store":     {1, loseAnswers, true},
+	"forget the store's history":    {1, forgetHistory, true},
+	"let registrations lapse":       {1, lapse, true},
+	"silence open connections":      {1, silenceConnections, false},
+	"reset open connections":        {1, resetConnections, false},
+	"drain and replace a server":    {5, drainServer, false},
+	"crash a server, reuse address": {3, crashServer, false},
+	"restart a server":              {1, restartServer, false},
+	"change the configuration":      {5, changeConfig, false},
+	"change it many times":          {1, stormConfig, false},
+}
+
+// concerned returns count machines from the step's daemon on.
+func (s *site) concerned(step Step, count int) []*machine {
+	var out []*machine
+	for i := range min(count, len(s.machines)) {
+		out = append(out, s.machines[(step.Daemon+i)%len(s.machines)])
+	}
+	return out
+}
+
+func nodes(machines []*machine) []node {
+	var out []node
+	for _, m := range machines {
+		out = append(out, daemonNode(m.number))
+	}
+	return out
+}
+
+// allDaemons returns the nodes of all daemons.
+func (s *site) allDaemons() []node { return nodes(s.machines) }
+
+// restartInTurn ends daemons in the orderly way one after the other and starts them
+// again.
+func restartInTurn(ctx context.Context, s *site, step Step) {
+	for _, m := range s.concerned(step, step.Count) {
+		end := s.judge.impair(daemonNode(m.number))
+		m.terminate(ctx)
+		sleep(ctx, startPause)
+		m.start()
+		s.await(ctx, readyBound, func() bool { st, err := m.status(ctx); return err == nil && st.Ready })
+		end()
+	}
+}
+
+// killDaemons kills daemons at the same moment and starts them again later.
+func killDaemons(ctx context.Context, s *site, step Step) {
+	machines := s.concerned(step, step.Count)
+	defer s.judge.impair(nodes(machines)...)()
+	for _, m := range machines {
+		m.signal(syscall.SIGKILL)
+	}
+	for _, m := range machines {
+		m.kill()
+	}
+	sleep(ctx, startPause+step.For/4)
+	for _, m := range machines {
+		m.start()
+	}
+}
+
+func freezeDaemon(ctx context.Context, s *site, step Step) {
+	m := s.concerned(step, 1)[0]
+	defer s.judge.impair(daemonNode(m.number))()
+	m.freeze(true)
+	sleep(ctx, step.For)
+	m.freeze(false)
+}
+
+func hangUp(_ context.Context, s *site, step Step) {
+	for _, m := range s.concerned(step, step.Count) {
+		level := "info"
+		if step.Count%2 == 0 {
+			level = "debug"
+		}
+		if err := m.settings(level); err != nil {
+			s.judge.violated("settings of %s: %v", m.name, err)
+		}
+		m.signal(syscall.SIGHUP)
+	}
+}
+
+// cutZone parts the daemons of a zone from the other zones' daemons and servers,
+// and in half of the cases from the store.
+func cutZone(ctx context.Context, s *site, step Step) {
+	var cut []direction
+	var inside []*machine
+	both := func(a, b node) { cut = append(cut, direction{a, b}, direction{b, a}) }
+	for _, m := range s.machines {
+		if m.zone == step.Zone {
+			inside = append(inside, m)
+		}
+		if m.zone == step.Zone && step.Count%2 == 0 {
+			both(daemonNode(m.number), storeNode)
+		}
+		for _, other := range s.machines {
+			if m.zone == step.Zone && other.zone != step.Zone {
+				both(daemonNode(m.number), daemonNode(other.number))
+			}
+		}
+		s.mu.Lock()
+		for _, place := range s.servers {
+			if (m.zone == step.Zone) != (place.zone == step.Zone) {
+				both(daemonNode(m.number), serverNode(place.index))
+			}
+		}
+		s.mu.Unlock()
+	}
+	defer s.judge.impair(nodes(inside)...)()
+	defer s.conditions.add(cut, true, 0)()
+	sleep(ctx, step.For)
+}
+
+// links returns the directions between a daemon and all others.
+func (s *site) links(m *machine) (out, in []direction) {
+	for _, other := range s.machines {
+		if other != m {
+			out = append(out, direction{daemonNode(m.number), daemonNode(other.number)})
+			in = append(in, direction{daemonNode(other.number), daemonNode(m.number)})
+		}
+	}
+	return out, in
+}
+
+func cutOneWay(ctx context.Context, s *site, step Step) {
+	m := s.concerned(step, 1)[0]
+	out, in := s.links(m)
+	cut := out
+	if step.Count%2 == 0 {
+		cut = in
+	}
+	defer s.judge.impair(daemonNode(m.number))()
+	defer s.conditions.add(cut, true, 0)()
+	sleep(ctx, step.For)
+}
+
+// delayPerCount times the step's count is how late packets are.
+const delayPerCount = 80 * time.Millisecond
+
+func delayLinks(ctx context.Context, s *site, step Step) {
+	m := s.concerned(step, 1)[0]
+	out, in := s.links(m)
+	defer s.judge.impair(daemonNode(m.number))()
+	defer s.conditions.add(append(out, in...), false, time.Duration(step.Count)*delayPerCount)()
+	sleep(ctx, step.For)
+}
+
+func cutStore(ctx context.Context, s *site, step Step) {
+	machines := s.concerned(step, step.Count)
+	var cut []direction
+	for _, n := range nodes(machines) {
+		cut = append(cut, direction{n, storeNode}, direction{storeNode, n})
+	}
+	defer s.judge.impair(nodes(machines)...)()
+	defer s.conditions.add(cut, true, 0)()
+	sleep(ctx, step.For)
+}
+
+// fail lets the store fail for some daemons.
+func (s *site) fail(ctx context.Context, machines []*machine, f platform.Fault, length time.Duration) {
+	for _, m := range machines {
+		s.endpoints[m.number].Set(f)
+	}
+	sleep(ctx, length)
+	for _, m := range machines {
+		s.endpoints[m.number].Set(platform.None)
+	}
+}
+
+// refusals are the ways in which the store turns daemons away.
+var refusals = []platform.Fault{platform.Busy, platform.Throttled, platform.Silent}
+
+func refuseDaemons(ctx context.Context, s *site, step Step) {
+	machines := s.concerned(step, 2*step.Count)
+	if len(machines) == len(s.machines) {
+		machines = machines[1:]
+	}
+	defer s.judge.impair(nodes(machines)...)()
+	s.fail(ctx, machines, refusals[step.Server%len(refusals)], step.For)
+}
+
+func takeStoreAway(ctx context.Context, s *site, step Step) {
+	defer s.judge.impair(storeNode)()
+	s.fail(ctx, s.machines, refusals[step.Server%len(refusals)], step.For)
+}
+
+func slowStore(ctx context.Context, s *site, step Step) {
+	var slow []direction
+	for _, n := range s.allDaemons() {
+		slow = append(slow, direction{storeNode, n})
+	}
+	defer s.judge.impair(storeNode)()
+	defer s.conditions.add(slow, false, time.Duration(step.Count)*delayPerCount)()
+	sleep(ctx, step.For)
+}
+
+func loseAnswers(ctx context.Context, s *site, step Step) {
+	machines := s.concerned(step, 2*step.Count)
+	defer s.judge.impair(append(nodes(machines), storeNode)...)()
+	s.fail(ctx, machines, platform.Lost, step.For)
+}
+
+func forgetHistory(_ context.Context, s *site, _ Step) {
+	defer s.judge.impair(storeNode)()
+	s.store.Forget()
+}
+
+// lapseReturn is within which the registrations are back.
+const lapseReturn = 1500 * time.Millisecond
+
+// lapse takes the store away, lets the registrations of all servers lapse meanwhile
+// and brings them back after its return.
+func lapse(ctx context.Context, s *site, step Step) {
+	defer s.judge.impair(storeNode)()
+	s.fail(ctx, s.machines, platform.Busy, step.For)
+	s.mu.Lock()
+	var ready []*server
+	for _, place := range s.servers {
+		if place.ready {
+			ready = append(ready, place)
+			s.store.Delete(place.backend.Key())
+		}
+	}
+	s.mu.Unlock()
+	sleep(ctx, lapseReturn*time.Duration(step.Count)/4)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, place := range ready {
+		if place.ready {
+			s.store.Put(place.backend.Key(), place.backend.Entry("ready"))
+		}
+	}
+}
+
+// silenceConnections leaves the connections open that a daemon has, and lets
+// nothing through them; new ones work.
+func silenceConnections(_ context.Context, s *site, step Step) {
+	defer s.judge.impair(s.allDaemons()...)()
+	s.conditions.disturb(daemonNode(step.Daemon), (*relayed).silence)
+}
+
+func resetConnections(_ context.Context, s *site, step Step) {
+	defer s.judge.impair(s.allDaemons()...)()
+	s.conditions.disturb(daemonNode(step.Daemon), (*relayed).reset)
+}
+
+// leaving takes a ready server out of its pool if enough others stay. It returns
+// nil if none may go.
+func (s *site) leaving(step Step) *server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ready := map[string]int{}
+	for _, place := range s.servers {
+		if place.ready {
+			ready[place.backend.Pool]++
+		}
+	}
+	for i := range s.servers {
+		place := s.servers[(step.Server+i)%len(s.servers)]
+		if place.ready && ready[place.backend.Pool] > leastServers {
+			place.ready = false
+			return place
+		}
+	}
+	return nil
+}
+
+// drainServer lets a server leave in the orderly way; a new one takes its part.
+func drainServer(ctx context.Context, s *site, step Step) {
+	place := s.leaving(step)
+	if place == nil {
+		return
+	}
+	old := place.backend
+	if _, err := s.addServer(old.Pool, place.zone); err != nil {
+		s.judge.violated("new server: %v", err)
+		return
+	}
+	s.store.Put(old.Key(), old.Entry("draining"))
+	s.judge.drains(old.Number)
+	sleep(ctx, drainBound+step.For)
+	defer s.judge.impair(serverNode(place.index))()
+	s.store.Delete(old.Key())
+	old.Close()
+}
+
+// Times of a server that crashes: its registration vanishes after three missed
+// writes, and its address is used again.
+const (
+	registrationLapse = 2300 * time.Millisecond
+	addressReuse      = 2 * time.Second
+)
+
+// crashServer ends a server without a word. A server of the other service gets its
+// address.
+func crashServer(ctx context.Context, s *site, step Step) {
+	place := s.leaving(step)
+	if place == nil {
+		return
+	}
+	defer s.judge.impair(serverNode(place.index))()
+	old := place.backend
+	old.Close()
+	sleep(ctx, registrationLapse)
+	s.store.Delete(old.Key())
+	sleep(ctx, addressReuse)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := counterRoute
+	if old.Pool == counterRoute {
+		next = guideRoute
+	}
+	if err := s.occupy(place, next); err != nil {
+		s.judge.violated("server on a used address: %v", err)
+	}
+}
+
+// restartServer lets a server start again under its id, without its flows.
+func restartServer(_ context.Context, s *site, step Step) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	place := s.servers[step.Server%len(s.servers)]
+	if !place.ready {
+		return
+	}
+	defer s.judge.impair(serverNode(place.index))()
+	place.backend.Restart()
+	s.store.Put(place.backend.Key(), place.backend.Entry("ready"))
+}
+
+// changeConfig adds or drops a route and checks it at each daemon in touch when the
+// bound has passed.
+func changeConfig(ctx context.Context, s *site, _ Step) {
+	s.mu.Lock()
+	present := !s.present
+	s.mu.Unlock()
+	s.configure(present)
+	if !sleep(ctx, configBound+awaitPoll) {
+		return
+	}
+	s.probe(ctx)
+}
+
+// stormPause is between two changes of a series.
+const stormPause = 150 * time.Millisecond
+
+func stormConfig(ctx context.Context, s *site, step Step) {
+	for i := range 4 * step.Count {
+		s.configure(i%2 == 0)
+		sleep(ctx, stormPause)
+	}
+	changeConfig(ctx, s, step)
+}
+
+// probePatience bounds one probe: an opening packet and three copies.
+const probePatience = 700 * time.Millisecond
+
+// probe opens a flow on the route that comes and goes through each daemon.
+func (s *site) probe(ctx context.Context) {
+	s.mu.Lock()
+	s.numbers++
+	prober, err := platform.NewCaller(s.network.Addr(proberGroup, byte(s.numbers), dataPort), probePatience)
+	s.mu.Unlock()
+	if err != nil {
+		s.judge.violated("prober: %v", err)
+		return
+	}
+	defer prober.Close()
+	for _, m := range s.machines {
+		if ctx.Err() != nil {
+			return
+		}
+		began := time.Now()
+		s.judge.mu.Lock()
+		present, settled := s.judge.settled(began)
+		s.judge.mu.Unlock()
+		_, err := prober.Open(platform.Via(m.data), routes[addedRoute])
+		s.judge.probed(m, began, settled, present, err)
+	}
+}
+
+// probed judges a probe: the daemon was in touch, and the configuration did not
+// change meanwhile.
+func (j *judge) probed(m *machine, began time.Time, settled, present bool, err error) {
+	j.mu.Lock()
+	now := time.Now()
+	still, ok := j.settled(now)
+	judged := settled && ok && still == present && j.inTouch(m.number, now)
+	// A lost opening packet is no refusal while servers or links are impaired.
+	calm := j.calm(began, now)
+	if judged {
+		j.counts.Probes++
+	}
+	j.mu.Unlock()
+	switch {
+	case !judged:
+	case present && errors.Is(err, platform.ErrReset):
+		j.violated("%s refused a flow on a route that was added", m.name)
+	case present && err != nil && calm:
+		j.violated("%s did not serve a flow on a route that was added: %v", m.name, err)
+	case !present && err == nil:
+		j.violated("%s served a flow on a route that was dropped", m.name)
+	}
+}
