Hold the forged link of a test until the daemon has answered

Cause: the caller of TestForgedPeersAreRefused closed its connection on the daemon's hello. The link is held for the second after which the test looks, so the check is as strict.

--- a/internal/peer/refuse_test.go
+++ b/internal/peer/refuse_test.go
@@ -14,8 +14,9 @@
 	"knapweedshore.example/peerapi"
 )
 
-// forgeLink opens a link with any certificate and says any hello. It returns
-// what the daemon answers.
+// forgeLink opens a link with any certificate and says any hello, and holds it for
+// a second: closed right after the answer, it could end before the daemon knows that
+// its answer was sent. It returns what the daemon answers.
 func (c *cluster) forgeLink(to *testNode, id *Credentials, claim member.Member) error {
 	from := netip.MustParseAddrPort("10.0.0.99:1")
 	raw, err := c.net.dialFrom(from)(c.t.Context(), to.table.View().Self.Control)
@@ -31,6 +32,7 @@
 		return err
 	}
 	_, err = stream.Recv()
+	time.Sleep(time.Second)
 	return err
 }
 
@@ -58,7 +60,6 @@
 				id, err := forge(c.authority, &claim)
 				is.NoErr(err)
 				err = c.forgeLink(n, id, claim)
-				time.Sleep(time.Second)
 				_, joined := n.table.View().Get("m")
 				refused := n.cfg.Metrics.Refusals().Value(metrics.PeerRefused)
 				if name == "honest" {
