Number the flows of the stand-in servers anew

A frozen daemon held copies of a whole flow and sent them after its end; the stand-in server used one sequence number for all flows, took the copies for a new flow and ran its request again. The platform's servers answer data of an ended flow with a reset.

Test: TestLateCopiesOfAFlowRunNothing fails without the change.

--- a/standin/platform/backend.go
+++ b/standin/platform/backend.go
@@ -42,7 +42,8 @@
 	requests int
 	forged   int
 	strays   int
-	// lastOpened is when the last flow was opened.
+	// opened counts the flows, and lastOpened is when the last one was opened.
+	opened     uint32
 	lastOpened time.Time
 }
 
@@ -159,7 +160,8 @@
 	f := b.flows[id]
 	switch {
 	case p.Flags&SYN != 0 && f == nil:
-		f = &backendFlow{seq: uint32(b.Number) * sequenceSpread, next: p.Seq + 1}
+		b.opened++
+		f = &backendFlow{seq: (uint32(b.Number)<<16 + b.opened) * sequenceSpread, next: p.Seq + 1}
 		b.flows[id] = f
 		b.lastOpened = time.Now()
 		b.reply(p, Packet{Seq: f.seq, Flags: SYN | ACK})
@@ -181,7 +183,7 @@
 	}
 }
 
-// sequenceSpread keeps the sequence numbers of servers far apart.
+// sequenceSpread keeps the sequence numbers of flows far apart.
 const sequenceSpread = 2654435761
 
 // holds reports whether the flow is open here: the caller may have acknowledged
--- /dev/null
+++ b/standin/platform/backend_test.go
@@ -0,0 +1,39 @@
+package platform
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a request that is run again when copies of a whole flow arrive
+// after its end, as a daemon sends them that was frozen meanwhile (soak seed 101).
+func TestLateCopiesOfAFlowRunNothing(t *testing.T) {
+	is := is.New(t)
+	network, err := ClaimNetwork()
+	is.NoErr(err)
+	defer network.Release()
+	b, err := NewBackend(network.Addr(1, 1, 8080), 7, "p", "z", 8172)
+	is.NoErr(err)
+	defer b.Close()
+	p := Packet{Src: network.Addr(2, 1, 1025), Dst: netip.MustParseAddrPort("198.18.0.1:443")}
+	with := func(flags byte, seq, ack uint32, data string) []byte {
+		q := p
+		q.Flags, q.Seq, q.Ack, q.Data = flags, seq, ack, []byte(data)
+		return q.Encode()
+	}
+	open := with(SYN, 1000, 0, "")
+	b.handle(7, open)
+	seq := b.flows[[2]netip.AddrPort{p.Src, p.Dst}].seq
+	request := with(ACK, 1001, seq, "hello")
+	b.handle(7, request)
+	b.handle(7, request) // a copy on an open flow
+	requests, _, _ := b.Counts()
+	is.Equal(requests, 1)
+	b.handle(7, with(FIN|ACK, 1006, seq+6, ""))
+	b.handle(7, open)
+	b.handle(7, request)
+	requests, _, _ = b.Counts()
+	is.Equal(requests, 1)
+}
