Let a daemon that starts during a lapse learn the vanished servers

Registrations had lapsed with the store, and daemons that were restarted before the servers had written again listed a store without servers: they refused new flows at once and dropped packets of open ones. Their peers still used those servers, but handed on present items only. Ruled out: stale tables (the refusals carry the newest revision, 3 to 180 ms old).

Change: deleted items keep their last value for the minute in which they are remembered, and complete readings between daemons hold them, so a starting daemon has the vanished servers with the time of their loss. For the grace of such servers after its start a daemon drops opening packets of a pool without servers; the caller's copies 200 and 600 ms later find them.

Tests: TestStartDuringALapseTakesServersFromPeers and TestStartingDaemonDoesNotRefuseForLackOfServers fail without the change. TestNoServerLeft advances its clock by the grace before it looks, which the test had only told the builder.

--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -134,7 +134,7 @@
 	server, ticket := e.placer.Choose(placement.Request{Route: route, Candidates: candidates, Avoid: avoid, Now: now})
 	if server == nil {
 		e.logRefusal(d, p, metrics.NoUsableServer, now)
-		return nil, &refusal{metrics.NoUsableServer, true}
+		return nil, &refusal{metrics.NoUsableServer, !now.Before(d.Settled)}
 	}
 	e.metrics.Count(metrics.FlowsOpened, 1)
 	if avoid != 0 && avoid != server.Cookie {
--- a/internal/cookie/engine_test.go
+++ b/internal/cookie/engine_test.go
@@ -218,7 +218,8 @@
 func TestNoServerLeft(t *testing.T) {
 	w := newWorld(t)
 	w.apply(directory.Change{Deleted: "10.0.0.1:80"}, directory.Change{Deleted: "10.0.0.2:80"})
-	w.builder.Expire(w.now.Add(directory.DefaultKeep.Missing))
+	w.now = w.now.Add(directory.DefaultKeep.Missing)
+	w.builder.Expire(w.now)
 	w.tables.use(w.builder)
 	w.is.True(w.send(Packet{Opens: true}).Reset)
 	w.is.True(!w.send(Packet{Opens: true, Aborts: true}).Reset)
@@ -278,3 +279,25 @@
 	w.is.True(!w.engine.Handle([]byte("envlnot JSON"), w.now).To.IsValid())
 	w.is.Equal(w.metrics.Refusals().Value(metrics.Malformed), int64(1))
 }
+
+// Guards against callers that are refused by a daemon that has just started while
+// registrations have lapsed with the store: they are back within about 2 s, and a
+// copy of the opening packet finds them (soak seed 104).
+func TestStartingDaemonDoesNotRefuseForLackOfServers(t *testing.T) {
+	w := newWorld(t)
+	w.builder = directory.NewBuilder()
+	w.now = epoch.Add(time.Hour)
+	w.apply(directory.Change{Config: &directory.Config{Version: 1, Routes: []directory.Route{{
+		Name: "r", Address: service, Shares: []directory.Share{{Pool: "p", Weight: 1}}, Timeout: 2 * time.Second,
+	}}}})
+	w.is.True(!w.send(Packet{Opens: true}).To.IsValid())
+	w.now = w.now.Add(200 * time.Millisecond)
+	w.apply(directory.Change{Server: server(1, "10.0.0.1:80")})
+	w.is.Equal(w.open(1), directory.Cookie(1))
+
+	w.apply(directory.Change{Deleted: "10.0.0.1:80"})
+	w.now = w.now.Add(directory.DefaultKeep.Missing)
+	w.builder.Expire(w.now)
+	w.tables.use(w.builder)
+	w.is.True(w.send(Packet{Opens: true, Service: service, Ack: 1}).Reset)
+}
--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -41,8 +41,10 @@
 	Config *Config
 	// Server is a valid registration.
 	Server *Server
-	// Deleted is the id of a registration that has vanished.
+	// Deleted is the id of a registration that has vanished, and Last its last state
+	// if that is known.
 	Deleted string
+	Last    *Server
 	// Invalid is the id of a registration that names no usable server.
 	Invalid string
 	// VM is the registration of a daemon, DeletedVM the address of one that has
@@ -70,7 +72,9 @@
 // Builder collects changes and builds directories. It is not safe for
 // concurrent use.
 type Builder struct {
-	keep     Keep
+	keep Keep
+	// began is when the first configuration arrived.
+	began    time.Time
 	revision uint64
 	config   *Config
 	// routes belongs to config and is shared by the directories built from it: a
@@ -115,6 +119,7 @@
 
 // apply returns why a change was refused, or "".
 func (b *Builder) apply(c Change, now time.Time) string {
+	arrived := now
 	if !c.Read.IsZero() {
 		now = c.Read
 	}
@@ -123,13 +128,13 @@
 		if b.config != nil && c.Config.Version < b.config.Version {
 			return ReasonOldVersion
 		}
-		b.use(c.Config)
+		b.use(c.Config, arrived)
 	case c.Server != nil:
 		return b.register(c.Server)
 	case c.Deleted != "":
-		b.vanish(c.Deleted, now)
+		b.vanish(c.Deleted, c.Last, now)
 	case c.Invalid != "":
-		b.vanish(c.Invalid, now)
+		b.vanish(c.Invalid, nil, now)
 		return c.Problem.Error()
 	case c.VM != nil:
 		b.vms[c.VM.Addr] = c.VM
@@ -141,7 +146,10 @@
 	return ""
 }
 
-func (b *Builder) use(c *Config) {
+func (b *Builder) use(c *Config, now time.Time) {
+	if b.config == nil {
+		b.began = now
+	}
 	b.config = c
 	b.routes = make(map[netip.AddrPort]*Route, len(c.Routes))
 	for i := range c.Routes {
@@ -160,9 +168,13 @@
 }
 
 // vanish keeps the server for its open flows. One that did not drain has
-// crashed, or its registration has lapsed with the store.
-func (b *Builder) vanish(name string, now time.Time) {
+// crashed, or its registration has lapsed with the store. last is used for a server
+// that has vanished before this daemon started.
+func (b *Builder) vanish(name string, last *Server, now time.Time) {
 	old := b.servers[name]
+	if old == nil {
+		old = last
+	}
 	if old == nil || !old.Missing.IsZero() {
 		return
 	}
@@ -203,6 +215,7 @@
 	d := &Directory{
 		Revision: b.revision,
 		Config:   b.config,
+		Settled:  b.began.Add(b.keep.Missing),
 		routes:   b.routes,
 		pools:    map[string][]*Server{},
 		byCookie: make(map[Cookie]*Server, len(b.servers)),
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -105,6 +105,9 @@
 	// Revision is the store's revision up to which the state is complete.
 	Revision uint64
 	Config   *Config
+	// Settled is from when on a server that is not known does not exist: before, its
+	// registration may have lapsed with the store while this daemon was down.
+	Settled time.Time
 
 	routes   map[netip.AddrPort]*Route
 	pools    map[string][]*Server
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -285,6 +285,13 @@
 	if !ok {
 		c, ok = f.decoder.Decode(i)
 	}
+	if i.Deleted && len(i.Value) > 0 {
+		last := i
+		last.Deleted = false
+		if before, decodes := f.decoder.Decode(last); decodes {
+			c.Last = before.Server
+		}
+	}
 	c.Read = i.Read
 	return c, ok
 }
--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -117,6 +117,9 @@
 		case after < forgotten:
 			return Reading{}, ErrHistoryLost
 		case len(events) > 0:
+			for i := range events {
+				events[i].Read = time.Now()
+			}
 			return Reading{Revision: newest, Items: events}, nil
 		}
 		select {
@@ -408,3 +411,33 @@
 	is.Equal(reasonOf(errors.Wrap(ErrHistoryLost, "x")), metrics.HistoryLost)
 	is.Equal(reasonOf(errors.New("x")), metrics.StoreUnavailable)
 }
+
+// Guards against a daemon that starts while registrations have lapsed with the
+// store and knows none of the servers that its peers still use: new flows get no
+// server, and packets of open ones are dropped.
+func TestStartDuringALapseTakesServersFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		s.put("config", "1")
+		s.put("s1", "up")
+		s.put("s2", "up")
+		old, stop := startFollower(t, s, always(true))
+		defer stop()
+		time.Sleep(time.Second)
+		s.delete("s1")
+		time.Sleep(time.Second)
+		s.delete("s2")
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(len(old.Current().Candidates("p")), 2)
+
+		fresh := NewFollower(Options{
+			Source: s, Decoder: fakeDecoder{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Watch: WatchTimesFor(recovery, fresh),
+		})
+		fresh.Offer(old.Since(0), "peer")
+		is.Equal(len(fresh.Current().Candidates("p")), 2)
+		is.True(fresh.Current().ByCookie(directory.CookieOf(1)) != nil)
+		// They are retired at the same time as at the peer.
+		is.Equal(fresh.Current().ByCookie(directory.CookieOf(2)).Missing, old.Current().ByCookie(directory.CookieOf(2)).Missing)
+	})
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -27,7 +27,8 @@
 
 // Item is one item of the store as it was read there.
 type Item struct {
-	Key               string
+	Key string
+	// Value of a deleted item is the last one if it is known.
 	Value             []byte
 	Revision, Created uint64
 	// Lease is what the item vanishes with; zero if it stays.
@@ -40,8 +41,8 @@
 // Reading is what a call has returned: everything up to Revision.
 type Reading struct {
 	Revision uint64
-	// Complete readings hold every item; others the changes since the revision
-	// that was asked for.
+	// Complete readings hold every item, and may hold deleted ones; others hold the
+	// changes since the revision that was asked for.
 	Complete bool
 	Items    []Item
 }
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// tombstoneTTL is how long deleted items are remembered, to tell peers that
-// have fallen behind. A peer that is further behind gets a complete reading.
+// tombstoneTTL is how long deleted items are remembered with their last value, to
+// tell peers that have fallen behind, and starting ones which servers have vanished.
+// A peer that is further behind gets a complete reading.
 const tombstoneTTL = time.Minute
 
 // State merges readings that may overlap, repeat each other or arrive out of
@@ -31,6 +32,9 @@
 	for _, i := range r.Items {
 		present[i.Key] = true
 		if i.Revision > max(s.revision, s.items[i.Key].Revision) {
+			if i.Deleted && len(i.Value) == 0 {
+				i.Value = s.items[i.Key].Value
+			}
 			s.items[i.Key] = i
 			changed = append(changed, i)
 		}
@@ -54,7 +58,7 @@
 		if present[key] || i.Deleted || i.Revision > revision {
 			continue
 		}
-		gone := Item{Key: key, Revision: revision, Created: i.Created, Deleted: true, Read: now}
+		gone := Item{Key: key, Value: i.Value, Revision: revision, Created: i.Created, Deleted: true, Read: now}
 		s.items[key] = gone
 		changed = append(changed, gone)
 	}
@@ -74,7 +78,7 @@
 func (s *State) Since(have uint64) Reading {
 	r := Reading{Revision: s.revision, Complete: have < s.forgotten || have == 0}
 	for _, i := range s.items {
-		if r.Complete && !i.Deleted || !r.Complete && i.Revision > have {
+		if r.Complete || i.Revision > have {
 			r.Items = append(r.Items, i)
 		}
 	}
