Drop opening packets that waited while the daemon stood still

The daemon read opening packets that had waited in its socket and sent them to servers of its own choice, although copies had long been served through other daemons. The second server's answer moved the caller's cookie, and the next packet went to a server that does not hold the flow.

Change: a pause of more than 600 ms, by the monotonic or the wall clock, or a start that waited as long for its directory, begins a backlog, which ends when the socket is empty. Opening packets of a backlog are dropped and counted (stale_packet, event 110). A flow's copies that are read together stay with its first server. The clock that the membership table uses for pauses has its own package now.

--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -64,12 +64,22 @@
 
 // Handle decides about a packet that starts after the codec's headroom in b. The
 // bytes of the verdict are valid until the next use of b.
-func (e *Engine) Handle(b []byte, now time.Time) Verdict {
+func (e *Engine) Handle(b []byte, now time.Time) Verdict { return e.handle(b, now, false) }
+
+// HandleLate decides about a packet that has waited while this daemon stood still.
+// Opening packets are dropped: a copy has probably been served through another
+// daemon, and a second server's answer would move the caller's cookie.
+func (e *Engine) HandleLate(b []byte, now time.Time) Verdict { return e.handle(b, now, true) }
+
+func (e *Engine) handle(b []byte, now time.Time, late bool) Verdict {
 	e.metrics.Count(metrics.PacketsIn, 1)
 	packet, err := e.codec.Parse(b[e.codec.Headroom():])
 	if err != nil {
 		return e.refuse(b, packet, &refusal{reason: metrics.Malformed})
 	}
+	if late && packet.Opens {
+		return e.refuse(b, packet, &refusal{reason: metrics.StalePacket})
+	}
 	d := e.tables.Current()
 	if d == nil {
 		return e.refuse(b, packet, &refusal{reason: metrics.NoTables})
@@ -120,6 +130,11 @@
 		return f.server, nil
 	}
 	route := d.Route(p.Service)
+	if route != nil && f != nil && now.Sub(f.placedAt) < placement.AnswerGrace {
+		// The packet and its copies were read together: the server has had no time
+		// to answer.
+		return f.server, nil
+	}
 	if route == nil {
 		e.logRefusal(d, p, metrics.NoRoute, now)
 		return nil, &refusal{metrics.NoRoute, e.tables.Age(now) <= freshEnough}
@@ -150,7 +165,7 @@
 		e.placer.Abandon(ticket)
 		return server, nil
 	}
-	f.server, f.route, f.ticket, f.lastSeen = server, route, ticket, now
+	f.server, f.route, f.ticket, f.lastSeen, f.placedAt = server, route, ticket, now, now
 	return server, nil
 }
 
--- a/internal/cookie/engine_test.go
+++ b/internal/cookie/engine_test.go
@@ -301,3 +301,33 @@
 	w.tables.use(w.builder)
 	w.is.True(w.send(Packet{Opens: true, Service: service, Ack: 1}).Reset)
 }
+
+// Guards against opening packets that have waited while the daemon stood still and
+// are forwarded to a second server, and against packets of open flows that are lost
+// with them.
+func TestLateOpeningPacketsAreDropped(t *testing.T) {
+	w := newWorld(t)
+	late := func(p Packet) Verdict {
+		p.Caller, p.Service = caller, service
+		raw, err := json.Marshal(p)
+		w.is.NoErr(err)
+		return w.engine.HandleLate(append(make([]byte, 4), raw...), w.now)
+	}
+	w.is.True(!late(Packet{Opens: true}).To.IsValid())
+	w.is.Equal(w.metrics.Refusals().Value(metrics.StalePacket), int64(1))
+	c := w.open(0)
+	w.is.Equal(late(Packet{Cookie: c, Payload: 10}).To, w.tables.endpoint(c))
+}
+
+// Guards against a flow that several servers accept because its opening packet and
+// the copies were read together after a start: the first server had no time to
+// answer.
+func TestCopiesInABurstGoToOneServer(t *testing.T) {
+	w := newWorld(t)
+	first := w.open(0)
+	w.now = w.now.Add(time.Millisecond)
+	w.is.Equal(w.open(1), first)
+	w.is.Equal(w.open(2), first)
+	w.now = w.now.Add(placement.AnswerGrace)
+	w.is.True(w.open(2) != first)
+}
--- a/internal/cookie/flows.go
+++ b/internal/cookie/flows.go
@@ -27,6 +27,8 @@
 	askedAck                    uint32
 	asked                       bool
 	openedAt, askedAt, lastSeen time.Time
+	// placedAt is when the opening packet was sent to the present server.
+	placedAt time.Time
 }
 
 // Limits of the flow records.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,7 @@
 	engine   *cookie.Engine
 	table    *exchange.Table
 	exchange *exchange.Exchange
+	pauses   *pauses
 	leaving  atomic.Bool
 	killed   chan struct{}
 	kill     sync.Once
@@ -80,7 +82,7 @@
 // New opens the daemon's sockets. Call Run next.
 func New(o Options) (*Daemon, error) {
 	watch := registry.WatchTimesFor(o.Settings.Recovery, o.Settings.Fresh())
-	d := &Daemon{options: o, killed: make(chan struct{}), placer: placement.New(o.Settings.Zone, rand.Uint64())}
+	d := &Daemon{options: o, killed: make(chan struct{}), pauses: newPauses(time.Now()), placer: placement.New(o.Settings.Zone, rand.Uint64())}
 	d.follower = registry.NewFollower(registry.Options{
 		Source: o.Source, Decoder: o.Decoder, Log: o.Log, Metrics: o.Metrics, Watch: watch,
 		Keep:     directory.KeepFor(o.Settings.Drain, o.Settings.FlowLife),
@@ -213,37 +215,65 @@
 // directory they wait in the socket, since a dropped opening packet costs its
 // caller 200 ms.
 func (d *Daemon) forward(ctx context.Context) {
+	began := time.Now()
 	for d.follower.Current() == nil {
 		if !wait.For(ctx, directoryPoll) {
 			return
 		}
 	}
 	d.options.Log.Log(events.Ready, zap.Uint64("revision", d.follower.Revision()))
+	now := time.Now()
+	waiting := backlog{pauses: d.pauses, seen: d.pauses.tick(now)}
+	if took := now.Sub(began); took > staleAfter {
+		d.options.Log.Log(events.Backlog, zap.Duration("waited_for_directory", took))
+		waiting.begin(now)
+	}
 	headroom := d.options.Codec.Headroom()
 	buffer := make([]byte, headroom+d.options.Codec.MaxPacket()+1)
-	port := d.options.Settings.Data.Port()
+	deadline := time.Time{}
 	for ctx.Err() == nil {
+		if next := waiting.deadline(now); next != deadline {
+			deadline = next
+			d.failed(ctx, "set read deadline", d.data.SetReadDeadline(next))
+		}
 		n, _, err := d.data.ReadFromUDPAddrPort(buffer[headroom:])
-		if err != nil {
-			d.failed(ctx, "read packet", err)
+		now = time.Now()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			waiting.empty()
 			continue
 		}
-		v := d.engine.Handle(buffer[:headroom+n], time.Now())
-		if !v.To.IsValid() {
+		if err != nil {
+			d.failed(ctx, "read packet", err)
 			continue
 		}
-		if v.Reset {
-			v.To = withPort(v.To, port)
+		handle := d.engine.Handle
+		late, paused := waiting.read(now)
+		if paused {
+			d.options.Log.Log(events.Backlog)
 		}
-		if _, err := d.data.WriteToUDPAddrPort(v.Bytes, v.To); err != nil {
-			d.options.Metrics.Refused(metrics.SendFailed)
+		if late {
+			handle = d.engine.HandleLate
 		}
+		d.send(handle(buffer[:headroom+n], now))
+	}
+}
+
+// send carries a verdict out.
+func (d *Daemon) send(v cookie.Verdict) {
+	if !v.To.IsValid() {
+		return
+	}
+	if v.Reset {
+		v.To = withPort(v.To, d.options.Settings.Data.Port())
+	}
+	if _, err := d.data.WriteToUDPAddrPort(v.Bytes, v.To); err != nil {
+		d.options.Metrics.Refused(metrics.SendFailed)
 	}
 }
 
 // failed reports an error of the packet socket, unless the daemon is ending.
 func (d *Daemon) failed(ctx context.Context, step string, err error) {
-	if ctx.Err() != nil {
+	if err == nil || ctx.Err() != nil {
 		return
 	}
 	d.options.Log.Log(events.DaemonFailed, zap.String("part", step), events.Cause(err))
@@ -254,6 +284,7 @@
 func (d *Daemon) upkeep(ctx context.Context) {
 	for wait.For(ctx, expireInterval) {
 		now := time.Now()
+		d.pauses.tick(now)
 		d.engine.Expire(now)
 		d.placer.ExpirePeers(now)
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -25,6 +25,7 @@
 	Reloaded      = Event{Number: 107, Level: info, Message: "settings read again", Action: "restart the daemon for the settings in field restart"}
 	ReloadRefused = Event{Number: 108, Level: warn, Message: "changed settings refused", Action: "mend the settings file"}
 	Ready         = Event{Number: 109, Level: info, Message: "daemon ready", Action: "none"}
+	Backlog       = Event{Number: 110, Level: warn, Message: "opening packets that waited are dropped", Action: "look for CPU starvation or a paused VM"}
 )
 
 // Events of membership and links, 200 to 299.
@@ -80,7 +81,7 @@
 func All() []Event {
 	return []Event{
 		DaemonStarted, DaemonLeaving, DaemonStopped, DaemonPaused, StandingBack, DaemonFailed,
-		LinesDropped, Reloaded, ReloadRefused, Ready,
+		LinesDropped, Reloaded, ReloadRefused, Ready, Backlog,
 		MemberJoined, MemberLeaving, MemberSuspected, MemberDied, MemberRefuted, LinkOpened, LinkLost, PeerRefused,
 		TablesApplied, TablesRegressed, TablesInvalid, TablesOld, FetchFailed, StoreDown, StoreBack,
 		DirectoryApplied, ItemRefused, WatchDuty, RegistrationFailed, PeersHelpedStart,
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -12,6 +12,7 @@
 
 	"knapweedshore.example/internal/events"
 	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/pause"
 )
 
 // tickInterval is the period of the table's loop. It bounds how late a silent
@@ -35,7 +36,7 @@
 // Table holds the member records of one region. It is safe for concurrent use.
 type Table struct {
 	cfg   Config
-	clock *clock
+	clock *pause.Clock
 	view  atomic.Pointer[View]
 
 	mu       sync.Mutex
@@ -70,7 +71,7 @@
 		return nil, err
 	}
 	t := &Table{
-		cfg: cfg, clock: newClock(now), self: cfg.Self,
+		cfg: cfg, clock: pause.NewClock(now), self: cfg.Self,
 		records:     make(map[Name]*record),
 		standing:    standing{held: !cfg.ExpectPeers, missing: now, lastHeard: now},
 		refutations: rate.NewLimiter(refutationRate, refutationBurst),
@@ -108,12 +109,12 @@
 // that resumes after a pause makes no decision before the loop has noticed.
 // The caller must read now after the packet has arrived. It allocates nothing.
 func (t *Table) Standing(now time.Time) bool {
-	return t.view.Load().Standing && t.clock.gap(now) <= PauseLimit
+	return t.view.Load().Standing && t.clock.Gap(now) <= PauseLimit
 }
 
 // Run declares deaths, notices pauses and forgets old records until ctx ends.
 func (t *Table) Run(ctx context.Context) error {
-	t.clock.set(time.Now())
+	t.clock.Set(time.Now())
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -138,7 +139,7 @@
 	}
 	// The clock is set last: until then Standing refuses by the gap, and from
 	// then on by the published view.
-	t.clock.set(now)
+	t.clock.Set(now)
 	t.mu.Unlock()
 	t.deliver()
 }
@@ -147,7 +148,7 @@
 // new incarnation for peers to acknowledge. Silence and suspicions are timed
 // anew, because messages that arrived during the pause are not handled yet.
 func (t *Table) checkPause(now time.Time) []Member {
-	gap := t.clock.gap(now)
+	gap := t.clock.Gap(now)
 	if gap <= PauseLimit {
 		return nil
 	}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -32,6 +32,7 @@
 	SilentFlow        Reason = "silent_flow"
 	NoCookie          Reason = "no_cookie"
 	UnknownCookie     Reason = "unknown_cookie"
+	StalePacket       Reason = "stale_packet"
 )
 
 var refusalReasons = []Reason{
@@ -40,7 +41,7 @@
 	FlowTableFull, NewFlowRate, NoStanding, NoOwner, NoTables, ResetUnconfirmed,
 	ICMPUnknownFlow, StaleTables, PeerNotMember, PeerRefused, LinkQueueFull, ExceptionBudget,
 	ExceptionStale, TablesRegressed, StoreBudget, SendFailed,
-	SilentFlow, NoCookie, UnknownCookie,
+	SilentFlow, NoCookie, UnknownCookie, StalePacket,
 }
 
 // Reasons for repeating a call.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -77,7 +77,7 @@
 	p.OnBelief(func(b Belief) { beliefs = append(beliefs, b) })
 	now := epoch
 	choose(p, servers, 0, now)
-	now = now.Add(answerGrace)
+	now = now.Add(AnswerGrace)
 	name, _ := choose(p, servers, 0, now)
 	is.Equal(name, "far")
 	is.Equal(beliefs, []Belief{{Server: 1, Avoided: true, For: firstSuspicion}})
@@ -85,7 +85,7 @@
 	now = now.Add(firstSuspicion)
 	servers = servers[:1]
 	_, trial := choose(p, servers, 0, now)
-	now = now.Add(answerGrace)
+	now = now.Add(AnswerGrace)
 	choose(p, servers, 0, now)
 	is.Equal(beliefs[1].For, 2*firstSuspicion)
 
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -8,9 +8,9 @@
 
 // Times of suspicion.
 const (
-	// answerGrace is how long a server may take to accept a flow. It does so
+	// AnswerGrace is how long a server may take to accept a flow. It does so
 	// in its network stack, within two round trips.
-	answerGrace = 80 * time.Millisecond
+	AnswerGrace = 80 * time.Millisecond
 	// firstSuspicion and longestSuspicion bound for how long a server that has
 	// not answered is avoided; the time doubles with each failed trial.
 	firstSuspicion   = 500 * time.Millisecond
@@ -95,7 +95,7 @@
 	if now.Before(s.until) {
 		return true, false
 	}
-	if s.waiting.IsZero() || now.Sub(s.waiting) < answerGrace {
+	if s.waiting.IsZero() || now.Sub(s.waiting) < AnswerGrace {
 		return false, false
 	}
 	s.lasting = min(longestSuspicion, max(firstSuspicion, 2*s.lasting))
