--- a/cmd/knapweedshored/soak.go
+++ b/cmd/knapweedshored/soak.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
 
 	"knapweedshore.example/cmd/usage"
@@ -38,12 +39,14 @@
 
 Examples:
   knapweedshored soak --seeds 50
+  knapweedshored soak --regressions --jobs 3
   knapweedshored soak --seed 17 --verbose
   knapweedshored soak --seed 17 --shrink
   knapweedshored soak --seed 17 --step 3 --step 8`,
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Usage: "first `SEED`; drawn at random if it is 0"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "play `N` seeds from the first one on"},
+			&cli.BoolFlag{Name: "regressions", Usage: "play all seeds that have ever failed instead"},
 			&cli.IntFlag{Name: "jobs", Value: 1, Usage: "play `N` seeds at the same time"},
 			&cli.DurationFlag{Name: "faults", Value: 15 * time.Second, Usage: "begin faults for `TIME`"},
 			&cli.IntFlag{Name: "zones", Value: 3, Usage: "`N` availability zones"},
@@ -71,7 +74,17 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return playSeeds(ctx, config, cmd.Int("seeds"), cmd.Int("jobs"), cmd.Bool("shrink"), cmd.Root().Writer)
+	var seeds []uint64
+	for i := range cmd.Int("seeds") {
+		seeds = append(seeds, config.Seed+uint64(i))
+	}
+	if cmd.Bool("regressions") {
+		seeds = nil
+		for _, r := range soak.Regressions {
+			seeds = append(seeds, r.Seed)
+		}
+	}
+	return playSeeds(ctx, config, seeds, cmd.Int("jobs"), cmd.Bool("shrink"), cmd.Root().Writer)
 }
 
 func soakConfig(cmd *cli.Command) (soak.Config, error) {
@@ -99,46 +112,50 @@
 }
 
 // playSeeds plays seeds one after the other in each job and writes their reports.
-func playSeeds(ctx context.Context, config soak.Config, seeds, jobs int, shrink bool, out io.Writer) error {
-	var mu sync.Mutex
-	var failure error
-	next := 0
-	play := func() {
-		for {
-			mu.Lock()
-			c := config
-			c.Seed += uint64(next)
-			next++
-			done := next > seeds || ctx.Err() != nil
-			mu.Unlock()
-			if done {
-				return
-			}
-			report, err := soak.Run(ctx, c)
-			if err == nil && !report.OK() && shrink {
-				report, err = shrinkSeed(ctx, c, report)
-			}
-			mu.Lock()
-			switch {
-			case err != nil:
-				failure = errors.Join(failure, errors.Wrapf(err, "seed %d", c.Seed))
-			case !report.OK():
-				failure = errors.Join(failure, errors.Wrapf(errSoakFailed, "seed %d", c.Seed))
-			}
-			if report != nil {
-				fmt.Fprint(out, report)
-			}
-			mu.Unlock()
-		}
+func playSeeds(ctx context.Context, config soak.Config, seeds []uint64, jobs int, shrink bool, out io.Writer) error {
+	waiting := make(chan uint64, len(seeds))
+	for _, seed := range seeds {
+		waiting <- seed
 	}
-	var group sync.WaitGroup
+	close(waiting)
+	var mu sync.Mutex // guards failure and out
+	var failure error
+	var group conc.WaitGroup
 	for range jobs {
-		group.Go(play)
+		group.Go(func() {
+			for seed := range waiting {
+				if ctx.Err() != nil {
+					return
+				}
+				c := config
+				c.Seed = seed
+				report, err := playSeed(ctx, c, shrink)
+				mu.Lock()
+				if report != nil {
+					fmt.Fprint(out, report)
+				}
+				if err != nil {
+					failure = errors.Join(failure, errors.Wrapf(err, "seed %d", seed))
+				}
+				mu.Unlock()
+			}
+		})
 	}
 	group.Wait()
 	return failure
 }
 
+func playSeed(ctx context.Context, c soak.Config, shrink bool) (*soak.Report, error) {
+	report, err := soak.Run(ctx, c)
+	if err == nil && !report.OK() && shrink {
+		report, err = shrinkSeed(ctx, c, report)
+	}
+	if err == nil && !report.OK() {
+		err = errSoakFailed
+	}
+	return report, err
+}
+
 // shrinkSeed returns the report of the smallest schedule found that still fails.
 func shrinkSeed(ctx context.Context, c soak.Config, report *soak.Report) (*soak.Report, error) {
 	var failure error
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
 )
 
 // Config says what to run.
@@ -91,6 +92,7 @@
 	if !sleep(ctx, startTime) {
 		return ctx.Err()
 	}
+	s.plannedWork(ctx)
 	s.inject(ctx, schedule)
 	s.finalFault(ctx)
 	s.checkRecovery(ctx)
@@ -99,6 +101,19 @@
 	return ctx.Err()
 }
 
+// plannedTail is for how long flows are judged after the bound of a drain.
+const plannedTail = 2 * time.Second
+
+// plannedWork drains a server and adds a route while nothing is impaired, so that
+// each run judges the promises with a bound at every daemon.
+func (s *site) plannedWork(ctx context.Context) {
+	step := Step{Server: int(s.config.Seed % (1 << 16)), For: plannedTail}
+	var changes conc.WaitGroup
+	changes.Go(func() { drainServer(ctx, s, step) })
+	changes.Go(func() { changeConfig(ctx, s, step) })
+	changes.Wait()
+}
+
 // inject begins each step at its time. Steps overlap: each runs beside the others
 // until it has ended itself.
 func (s *site) inject(ctx context.Context, schedule Schedule) {
