Retire lapsed servers only when the store was seen without them

The store came back with all registrations lapsed, went away again within a second, and so the servers' new registrations could not be seen; 2.3 s later every daemon retired the missing servers. Ruled out: stale tables after a restart (the refusing daemons had run all along).

Change: a missing server is retired when the grace has passed and the directory has been confirmed for a third of it since the server vanished. A pool counts as lapsed until its last missing server is back or retired, instead of for a fixed time.

Tests: TestLapsedServersStayWhileTheStoreIsAway fails without the change. Existing tests pass the time of the last confirmation, which is the present in each of them.

--- a/internal/cookie/engine_test.go
+++ b/internal/cookie/engine_test.go
@@ -219,7 +219,7 @@
 	w := newWorld(t)
 	w.apply(directory.Change{Deleted: "10.0.0.1:80"}, directory.Change{Deleted: "10.0.0.2:80"})
 	w.now = w.now.Add(directory.DefaultKeep.Missing)
-	w.builder.Expire(w.now)
+	w.builder.Expire(w.now, w.now)
 	w.tables.use(w.builder)
 	w.is.True(w.send(Packet{Opens: true}).Reset)
 	w.is.True(!w.send(Packet{Opens: true, Aborts: true}).Reset)
@@ -297,7 +297,7 @@
 
 	w.apply(directory.Change{Deleted: "10.0.0.1:80"})
 	w.now = w.now.Add(directory.DefaultKeep.Missing)
-	w.builder.Expire(w.now)
+	w.builder.Expire(w.now, w.now)
 	w.tables.use(w.builder)
 	w.is.True(w.send(Packet{Opens: true, Service: service, Ack: 1}).Reset)
 }
--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -10,8 +10,8 @@
 
 // Keep is for how long servers are kept after their registration has vanished.
 type Keep struct {
-	// Missing is how long servers whose registrations vanished without a drain still
-	// take flows if they were the greater part of their pool: the registrations have
+	// Missing is for how long at least servers whose registrations vanished without a
+	// drain take flows if they were the greater part of their pool: the registrations have
 	// lapsed with the store then, and the few that are back first could not serve
 	// everybody. Fewer have most likely crashed.
 	Missing time.Duration
@@ -84,9 +84,9 @@
 	routes  map[netip.AddrPort]*Route
 	servers map[string]*Server
 	vms     map[netip.Addr]*VM
-	// lapsed are the pools of which the greater part has vanished, and until when
-	// their missing servers take flows.
-	lapsed map[string]time.Time
+	// lapsed are the pools of which the greater part has vanished: their missing
+	// servers take flows.
+	lapsed map[string]bool
 }
 
 // NewBuilder returns a Builder that knows nothing, with DefaultKeep.
@@ -94,7 +94,7 @@
 
 // NewBuilderThatKeeps returns a Builder that knows nothing.
 func NewBuilderThatKeeps(k Keep) *Builder {
-	return &Builder{keep: k, servers: map[string]*Server{}, vms: map[netip.Addr]*VM{}, lapsed: map[string]time.Time{}}
+	return &Builder{keep: k, servers: map[string]*Server{}, vms: map[netip.Addr]*VM{}, lapsed: map[string]bool{}}
 }
 
 // Apply takes over changes that follow the present revision, which they bring
@@ -111,9 +111,10 @@
 	return refused
 }
 
-// noteLapses finds the pools of which the greater part is missing.
+// noteLapses finds the pools of which the greater part is missing. A pool stays
+// lapsed until its last missing server is back or retired.
 func (b *Builder) noteLapses() {
-	present, missing, last := map[string]int{}, map[string]int{}, map[string]time.Time{}
+	present, missing := map[string]int{}, map[string]int{}
 	for _, s := range b.servers {
 		switch {
 		case s.Draining, s.Retired:
@@ -121,14 +122,16 @@
 			present[s.Pool]++
 		default:
 			missing[s.Pool]++
-			if s.Missing.After(last[s.Pool]) {
-				last[s.Pool] = s.Missing
-			}
 		}
 	}
 	for pool, n := range missing {
 		if n > present[pool] {
-			b.lapsed[pool] = last[pool].Add(b.keep.Missing)
+			b.lapsed[pool] = true
+		}
+	}
+	for pool := range b.lapsed {
+		if missing[pool] == 0 {
+			delete(b.lapsed, pool)
 		}
 	}
 }
@@ -212,29 +215,29 @@
 	b.servers[name] = &gone
 }
 
-// Expire retires and forgets servers by their age. It reports whether
-// something changed.
-func (b *Builder) Expire(now time.Time) bool {
+// Expire retires and forgets servers by their age. confirmed is when the directory
+// was last known to be the newest: a server is only retired when the store has been
+// seen without it for a third of the grace, so that a store which goes away again
+// right after a lapse does not empty the pools. Expire reports whether something
+// changed.
+func (b *Builder) Expire(now, confirmed time.Time) bool {
 	changed := false
-	for pool, until := range b.lapsed {
-		if !now.Before(until) {
-			delete(b.lapsed, pool)
-			changed = true
-		}
-	}
 	for name, s := range b.servers {
 		switch age := now.Sub(s.Missing); {
 		case s.Missing.IsZero():
-		case age >= b.keep.Retired:
+		case age >= b.keep.Retired && s.Retired:
 			delete(b.servers, name)
 			changed = true
-		case age >= b.keep.Missing && !s.Retired:
+		case age >= b.keep.Missing && confirmed.Sub(s.Missing) >= b.keep.Missing/3 && !s.Retired:
 			gone := *s
 			gone.Retired = true
 			b.servers[name] = &gone
 			changed = true
 		}
 	}
+	if changed {
+		b.noteLapses()
+	}
 	return changed
 }
 
@@ -272,7 +275,7 @@
 		}
 	}
 	for pool, servers := range missing {
-		if _, lapsed := b.lapsed[pool]; lapsed {
+		if b.lapsed[pool] {
 			d.pools[pool] = append(d.pools[pool], servers...)
 		}
 	}
--- a/internal/directory/builder_test.go
+++ b/internal/directory/builder_test.go
@@ -21,7 +21,7 @@
 func build(t *testing.T, b *Builder, now time.Time, changes ...Change) *Directory {
 	t.Helper()
 	b.Apply(changes, 0, now)
-	b.Expire(now)
+	b.Expire(now, now)
 	return b.Build()
 }
 
@@ -62,7 +62,7 @@
 			is.Equal(d.ByCookie(3).Name, "i-1")
 
 			b.Apply([]Change{{Deleted: "i-1"}}, 31, start)
-			b.Expire(start.Add(DefaultKeep.Missing))
+			b.Expire(start.Add(DefaultKeep.Missing), start.Add(DefaultKeep.Missing))
 			is.Equal(names(b.Build().Candidates("p")), []string{"i-2"})
 		})
 	}
@@ -166,3 +166,27 @@
 	}
 	is.Equal(count, map[string]int{"a": 900, "b": 100})
 }
+
+// Guards against pools that are emptied by a store that goes away again right after
+// it has shown that all registrations lapsed: whether they came back cannot be seen
+// then (soak seeds 406 and 418).
+func TestLapsedServersStayWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	b := NewBuilder()
+	build(t, b, start, Change{Server: testServer("i-1", 1, 1)}, Change{Server: testServer("i-2", 2, 2)})
+	build(t, b, start, Change{Deleted: "i-1"}, Change{Deleted: "i-2"})
+	seen := start.Add(100 * time.Millisecond)
+	b.Expire(start.Add(time.Minute), seen)
+	is.Equal(names(b.Build().Candidates("p")), []string{"i-1", "i-2"})
+
+	back := start.Add(time.Minute)
+	b.Apply([]Change{{Server: testServer("i-2", 2, 9)}}, 9, back)
+	is.Equal(names(b.Build().Candidates("p")), []string{"i-1", "i-2"})
+	b.Expire(back, back)
+	is.Equal(names(b.Build().Candidates("p")), []string{"i-2"})
+
+	// The lapse is over: a server that vanishes later has crashed.
+	b.Apply([]Change{{Server: testServer("i-3", 3, 10)}, {Server: testServer("i-4", 4, 11)}}, 11, back)
+	b.Apply([]Change{{Deleted: "i-3"}}, 12, back)
+	is.Equal(names(b.Build().Candidates("p")), []string{"i-2", "i-4"})
+}
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -285,7 +285,7 @@
 	step := func(at time.Duration, changes ...directory.Change) {
 		now := epoch.Add(at)
 		b.Apply(changes, 0, now)
-		b.Expire(now)
+		b.Expire(now, now)
 		states = append(states, state{now, b.Build().Candidates("")})
 	}
 	var register, vanish []directory.Change
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -317,7 +317,7 @@
 func (f *Follower) expire(ctx context.Context) {
 	for wait.For(ctx, expireInterval) {
 		f.mu.Lock()
-		if f.builder.Expire(time.Now()) {
+		if f.builder.Expire(time.Now(), f.epoch.Add(time.Duration(f.confirmed.Load()))) {
 			f.publish("expiry")
 		}
 		f.mu.Unlock()
--- a/standin/soak/regressions.go
+++ b/standin/soak/regressions.go
@@ -7,8 +7,9 @@
 }
 
 const (
-	lateCopies   = "stand-in servers took late copies of a whole flow, sent by a daemon after a freeze, for a new flow"
-	staleOpening = "a daemon forwarded opening packets that had waited in its socket during a freeze to a second server"
+	lateCopies    = "stand-in servers took late copies of a whole flow, sent by a daemon after a freeze, for a new flow"
+	flappingStore = "a store that went away again right after a lapse left the pools empty: servers were retired unseen"
+	staleOpening  = "a daemon forwarded opening packets that had waited in its socket during a freeze to a second server"
 )
 
 // Regressions are all seeds that have ever failed, with the standard sizes.
@@ -23,4 +24,6 @@
 	{227, staleOpening},
 	{238, staleOpening},
 	{240, staleOpening},
+	{406, flappingStore},
+	{418, flappingStore},
 }
