Use the common wait and wait groups in the soak, name its hosts

The soak had its own copy of wait.For, called machines of servers by the same name as servers, and used the standard wait groups, which swallow panics of tasks until the process ends. No behaviour changes.

--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -90,10 +90,10 @@
 }
 
 // NewBuilder returns a Builder that knows nothing, with DefaultKeep.
-func NewBuilder() *Builder { return NewBuilderThatKeeps(DefaultKeep) }
+func NewBuilder() *Builder { return NewBuilderWith(DefaultKeep) }
 
-// NewBuilderThatKeeps returns a Builder that knows nothing.
-func NewBuilderThatKeeps(k Keep) *Builder {
+// NewBuilderWith returns a Builder that knows nothing.
+func NewBuilderWith(k Keep) *Builder {
 	return &Builder{keep: k, servers: map[string]*Server{}, vms: map[netip.Addr]*VM{}, lapsed: map[string]bool{}}
 }
 
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -117,7 +117,7 @@
 	}
 	return &Follower{
 		epoch: time.Now(), watchTimes: o.Watch, prefetch: o.Prefetch, source: o.Source, decoder: o.Decoder, log: o.Log, metrics: o.Metrics,
-		state: NewState(), builder: directory.NewBuilderThatKeeps(o.Keep),
+		state: NewState(), builder: directory.NewBuilderWith(o.Keep),
 	}
 }
 
--- a/standin/platform/router.go
+++ b/standin/platform/router.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 // Times of the platform's routers.
@@ -86,7 +88,7 @@
 		r.mu.Lock()
 		targets := append([]*target(nil), r.targets...)
 		r.mu.Unlock()
-		var asking sync.WaitGroup
+		var asking conc.WaitGroup
 		for _, t := range targets {
 			asking.Go(func() { r.ask(ctx, t) })
 		}
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"knapweedshore.example/internal/wait"
 	"knapweedshore.example/standin/platform"
 )
 
@@ -70,7 +71,7 @@
 		}
 		owner = s.judgeAnswer(what, request, answer, owner)
 		served++
-		sleep(ctx, time.Duration(random.Int64N(int64(mostPause))))
+		wait.For(ctx, time.Duration(random.Int64N(int64(mostPause))))
 	}
 	if flow != nil && err == nil {
 		err = flow.End(s.rotation)
@@ -112,8 +113,8 @@
 func (s *site) backend(id string) *platform.Backend {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, place := range s.servers {
-		for _, b := range place.past {
+	for _, host := range s.servers {
+		for _, b := range host.past {
 			if b.ID == id {
 				return b
 			}
@@ -126,9 +127,9 @@
 func (s *site) alive(b *platform.Backend) bool {
 	s.mu.Lock()
 	index := -1
-	for _, place := range s.servers {
-		if place.backend == b {
-			index = place.index
+	for _, host := range s.servers {
+		if host.backend == b {
+			index = host.index
 		}
 	}
 	s.mu.Unlock()
--- a/standin/soak/recovery.go
+++ b/standin/soak/recovery.go
@@ -4,6 +4,8 @@
 	"context"
 	"syscall"
 	"time"
+
+	"knapweedshore.example/internal/wait"
 )
 
 // storeLag is how long the store stays away after the final fault in half of the
@@ -24,7 +26,7 @@
 	for _, m := range s.machines {
 		m.kill()
 	}
-	sleep(ctx, startPause)
+	wait.For(ctx, startPause)
 	away := s.config.Seed%2 == 0
 	if away {
 		for _, e := range s.endpoints {
@@ -35,7 +37,7 @@
 		m.start()
 	}
 	if away {
-		sleep(ctx, storeLag)
+		wait.For(ctx, storeLag)
 		for _, e := range s.endpoints {
 			e.Set(0)
 		}
@@ -51,9 +53,9 @@
 	s.mu.Lock()
 	version := uint64(s.version)
 	s.mu.Unlock()
-	sleep(ctx, recoveryTime)
+	wait.For(ctx, recoveryTime)
 	before := s.judge.served()
-	sleep(ctx, recoveryTime)
+	wait.For(ctx, recoveryTime)
 	for _, m := range s.machines {
 		if ctx.Err() != nil {
 			return
--- a/standin/soak/relay.go
+++ b/standin/soak/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
 )
 
 // Sizes and times of the relays.
@@ -76,7 +77,7 @@
 // relayConnections accepts connections until the listener is closed. dial returns
 // the other end and the direction from the caller to it.
 func relayConnections(ctx context.Context, c *conditions, l net.Listener, dial func(from netip.Addr) (net.Conn, direction, error)) {
-	var streams sync.WaitGroup
+	var streams conc.WaitGroup
 	defer streams.Wait()
 	for {
 		near, err := l.Accept()
@@ -100,7 +101,7 @@
 			defer c.untrack(r)
 			stop := context.AfterFunc(ctx, r.reset)
 			defer stop()
-			var both sync.WaitGroup
+			var both conc.WaitGroup
 			both.Go(func() { r.copy(c, far, near, d) })
 			both.Go(func() { r.copy(c, near, far, direction{d.to, d.from}) })
 			both.Wait()
@@ -130,14 +131,14 @@
 // hold waits until data may pass. It returns false when the connection is closed.
 func (r *relayed) hold(c *conditions, d direction) bool {
 	passes, delay := c.of(d.from, d.to)
-	for wait := delay; wait > 0 || !passes || r.silent.Load(); wait = 0 {
-		if wait == 0 {
-			wait = cutPoll
+	for pause := delay; pause > 0 || !passes || r.silent.Load(); pause = 0 {
+		if pause == 0 {
+			pause = cutPoll
 		}
 		select {
 		case <-r.closed:
 			return false
-		case <-time.After(wait):
+		case <-time.After(pause):
 		}
 		passes, _ = c.of(d.from, d.to)
 	}
--- a/standin/soak/report.go
+++ b/standin/soak/report.go
@@ -48,8 +48,8 @@
 // report judges what the servers have seen and returns the result of the run.
 func (j *judge) report(s *site, took time.Duration) *Report {
 	executed := map[string]int{}
-	for _, place := range s.servers {
-		for _, b := range place.past {
+	for _, host := range s.servers {
+		for _, b := range host.past {
 			_, forged, _ := b.Counts()
 			if forged > 0 {
 				j.violated("server %s got %d packets that their sender did not write so", b.ID, forged)
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
 
+	"knapweedshore.example/internal/wait"
 	"knapweedshore.example/standin/platform"
 )
 
@@ -72,24 +74,24 @@
 	machines   []*machine
 	endpoints  []*platform.Endpoint
 
-	callers, steps sync.WaitGroup
+	callers, steps conc.WaitGroup
 	// relays end when running ends and their sockets are closed.
 	running context.Context
 	stop    context.CancelFunc
-	relays  sync.WaitGroup
+	relays  conc.WaitGroup
 	sockets []interface{ Close() error }
 	peers   []*net.UDPConn
 
 	mu      sync.Mutex
 	random  *rand.Rand
-	servers []*server
+	servers []*serverHost
 	numbers uint64
 	version int
 	present bool
 }
 
-// server is a place where backend servers run one after the other.
-type server struct {
+// serverHost is a machine on which backend servers run one after the other.
+type serverHost struct {
 	index   int
 	zone    int
 	in      *net.UDPConn
@@ -230,34 +232,34 @@
 	return nil
 }
 
-// addServer starts a server in a place of its own.
-func (s *site) addServer(pool string, zone int) (*server, error) {
+// addServer starts a server on a host of its own.
+func (s *site) addServer(pool string, zone int) (*serverHost, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	place := &server{index: len(s.servers), zone: zone}
-	in, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.network.Addr(serversGroup, byte(place.index+1), serverPort)))
+	host := &serverHost{index: len(s.servers), zone: zone}
+	in, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.network.Addr(serversGroup, byte(host.index+1), serverPort)))
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for a server's packets")
 	}
-	place.in = in
-	s.servers, s.sockets = append(s.servers, place), append(s.sockets, in)
-	if err := s.occupy(place, pool); err != nil {
+	host.in = in
+	s.servers, s.sockets = append(s.servers, host), append(s.sockets, in)
+	if err := s.occupy(host, pool); err != nil {
 		return nil, err
 	}
-	s.relays.Go(func() { s.relayServer(place) })
-	return place, nil
+	s.relays.Go(func() { s.relayServer(host) })
+	return host, nil
 }
 
-// occupy starts a server in a place whose former one has gone. s.mu is held.
-func (s *site) occupy(place *server, pool string) error {
+// occupy starts a server on a host whose former one has gone. s.mu is held.
+func (s *site) occupy(host *serverHost, pool string) error {
 	s.numbers++
-	backend, err := platform.NewBackend(s.network.Addr(serverGroup, byte(place.index+1), serverPort), s.numbers, pool, zoneName(place.zone), dataPort)
+	backend, err := platform.NewBackend(s.network.Addr(serverGroup, byte(host.index+1), serverPort), s.numbers, pool, zoneName(host.zone), dataPort)
 	if err != nil {
 		return err
 	}
-	backend.Endpoint = s.network.Addr(serversGroup, byte(place.index+1), serverPort)
-	place.backend, place.ready = backend, true
-	place.past = append(place.past, backend)
+	backend.Endpoint = s.network.Addr(serversGroup, byte(host.index+1), serverPort)
+	host.backend, host.ready = backend, true
+	host.past = append(host.past, backend)
 	s.store.Put(backend.Key(), backend.Entry("ready"))
 	return nil
 }
@@ -265,23 +267,23 @@
 // numberLength is the size of the server's number before each packet.
 const numberLength = 8
 
-// relayServer passes packets of the daemons on to the server at a place, and shows
+// relayServer passes packets of the daemons on to the server on a host, and shows
 // the judge those that open flows.
-func (s *site) relayServer(place *server) {
-	to := s.network.Addr(serverGroup, byte(place.index+1), serverPort)
+func (s *site) relayServer(host *serverHost) {
+	to := s.network.Addr(serverGroup, byte(host.index+1), serverPort)
 	out, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(to))
 	if err != nil {
-		s.judge.violated("relay of server %d: %v", place.index, err)
+		s.judge.violated("relay of server %d: %v", host.index, err)
 		return
 	}
 	defer func() { _ = out.Close() }() // nothing is read from it
-	relayDatagrams(s.conditions, place.in, func(from netip.Addr, b []byte) (direction, func([]byte), bool) {
+	relayDatagrams(s.conditions, host.in, func(from netip.Addr, b []byte) (direction, func([]byte), bool) {
 		sender := s.machineAt(from)
 		if sender == nil || len(b) <= numberLength {
 			return direction{}, nil, false
 		}
 		s.showOpening(sender.number, b)
-		return direction{daemonNode(sender.number), serverNode(place.index)}, func(b []byte) {
+		return direction{daemonNode(sender.number), serverNode(host.index)}, func(b []byte) {
 			_, _ = out.Write(b) // the server may be down
 		}, true
 	})
@@ -344,7 +346,7 @@
 // await waits until a condition holds and reports whether it did in time.
 func (s *site) await(ctx context.Context, bound time.Duration, condition func() bool) bool {
 	for deadline := time.Now().Add(bound); !condition(); {
-		if time.Now().After(deadline) || !sleep(ctx, awaitPoll) {
+		if time.Now().After(deadline) || !wait.For(ctx, awaitPoll) {
 			return false
 		}
 	}
@@ -367,9 +369,9 @@
 	for _, e := range s.endpoints {
 		e.Close()
 	}
-	for _, place := range s.servers {
-		if place.backend != nil {
-			place.backend.Close()
+	for _, host := range s.servers {
+		if host.backend != nil {
+			host.backend.Close()
 		}
 	}
 	s.network.Release()
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -12,6 +12,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
+
+	"knapweedshore.example/internal/wait"
 )
 
 // Config says what to run.
@@ -89,7 +91,7 @@
 	traffic, stopTraffic := context.WithCancel(ctx)
 	defer stopTraffic()
 	s.startCallers(traffic)
-	if !sleep(ctx, startTime) {
+	if !wait.For(ctx, startTime) {
 		return ctx.Err()
 	}
 	s.plannedWork(ctx)
@@ -119,7 +121,7 @@
 func (s *site) inject(ctx context.Context, schedule Schedule) {
 	began := time.Now()
 	for _, step := range schedule {
-		if !sleep(ctx, time.Until(began.Add(step.At))) {
+		if !wait.For(ctx, time.Until(began.Add(step.At))) {
 			break
 		}
 		s.config.Progress(step.String())
@@ -127,15 +129,3 @@
 	}
 	s.steps.Wait()
 }
-
-// sleep waits and reports false if ctx has ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/standin/soak/steps.go
+++ b/standin/soak/steps.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"knapweedshore.example/internal/wait"
 	"knapweedshore.example/standin/platform"
 )
 
@@ -70,7 +71,7 @@
 	for _, m := range s.concerned(step, step.Count) {
 		end := s.judge.impair(daemonNode(m.number))
 		m.terminate(ctx)
-		sleep(ctx, startPause)
+		wait.For(ctx, startPause)
 		m.start()
 		s.await(ctx, readyBound, func() bool { st, err := m.status(ctx); return err == nil && st.Ready })
 		end()
@@ -87,7 +88,7 @@
 	for _, m := range machines {
 		m.kill()
 	}
-	sleep(ctx, startPause+step.For/4)
+	wait.For(ctx, startPause+step.For/4)
 	for _, m := range machines {
 		m.start()
 	}
@@ -97,7 +98,7 @@
 	m := s.concerned(step, 1)[0]
 	defer s.judge.impair(daemonNode(m.number))()
 	m.freeze(true)
-	sleep(ctx, step.For)
+	wait.For(ctx, step.For)
 	m.freeze(false)
 }
 
@@ -133,16 +134,16 @@
 			}
 		}
 		s.mu.Lock()
-		for _, place := range s.servers {
-			if (m.zone == step.Zone) != (place.zone == step.Zone) {
-				both(daemonNode(m.number), serverNode(place.index))
+		for _, host := range s.servers {
+			if (m.zone == step.Zone) != (host.zone == step.Zone) {
+				both(daemonNode(m.number), serverNode(host.index))
 			}
 		}
 		s.mu.Unlock()
 	}
 	defer s.judge.impair(nodes(inside)...)()
 	defer s.conditions.add(cut, true, 0)()
-	sleep(ctx, step.For)
+	wait.For(ctx, step.For)
 }
 
 // links returns the directions between a daemon and all others.
@@ -165,7 +166,7 @@
 	}
 	defer s.judge.impair(daemonNode(m.number))()
 	defer s.conditions.add(cut, true, 0)()
-	sleep(ctx, step.For)
+	wait.For(ctx, step.For)
 }
 
 // delayPerCount times the step's count is how late packets are.
@@ -176,7 +177,7 @@
 	out, in := s.links(m)
 	defer s.judge.impair(daemonNode(m.number))()
 	defer s.conditions.add(append(out, in...), false, time.Duration(step.Count)*delayPerCount)()
-	sleep(ctx, step.For)
+	wait.For(ctx, step.For)
 }
 
 func cutStore(ctx context.Context, s *site, step Step) {
@@ -187,7 +188,7 @@
 	}
 	defer s.judge.impair(nodes(machines)...)()
 	defer s.conditions.add(cut, true, 0)()
-	sleep(ctx, step.For)
+	wait.For(ctx, step.For)
 }
 
 // fail lets the store fail for some daemons.
@@ -195,7 +196,7 @@
 	for _, m := range machines {
 		s.endpoints[m.number].Set(f)
 	}
-	sleep(ctx, length)
+	wait.For(ctx, length)
 	for _, m := range machines {
 		s.endpoints[m.number].Set(platform.None)
 	}
@@ -225,7 +226,7 @@
 	}
 	defer s.judge.impair(storeNode)()
 	defer s.conditions.add(slow, false, time.Duration(step.Count)*delayPerCount)()
-	sleep(ctx, step.For)
+	wait.For(ctx, step.For)
 }
 
 func loseAnswers(ctx context.Context, s *site, step Step) {
@@ -248,20 +249,20 @@
 	defer s.judge.impair(storeNode)()
 	s.fail(ctx, s.machines, platform.Busy, step.For)
 	s.mu.Lock()
-	var ready []*server
-	for _, place := range s.servers {
-		if place.ready {
-			ready = append(ready, place)
-			s.store.Delete(place.backend.Key())
+	var ready []*serverHost
+	for _, host := range s.servers {
+		if host.ready {
+			ready = append(ready, host)
+			s.store.Delete(host.backend.Key())
 		}
 	}
 	s.mu.Unlock()
-	sleep(ctx, lapseReturn*time.Duration(step.Count)/4)
+	wait.For(ctx, lapseReturn*time.Duration(step.Count)/4)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, place := range ready {
-		if place.ready {
-			s.store.Put(place.backend.Key(), place.backend.Entry("ready"))
+	for _, host := range ready {
+		if host.ready {
+			s.store.Put(host.backend.Key(), host.backend.Entry("ready"))
 		}
 	}
 }
@@ -280,20 +281,20 @@
 
 // leaving takes a ready server out of its pool if enough others stay. It returns
 // nil if none may go.
-func (s *site) leaving(step Step) *server {
+func (s *site) leaving(step Step) *serverHost {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ready := map[string]int{}
-	for _, place := range s.servers {
-		if place.ready {
-			ready[place.backend.Pool]++
+	for _, host := range s.servers {
+		if host.ready {
+			ready[host.backend.Pool]++
 		}
 	}
 	for i := range s.servers {
-		place := s.servers[(step.Server+i)%len(s.servers)]
-		if place.ready && ready[place.backend.Pool] > leastServers {
-			place.ready = false
-			return place
+		host := s.servers[(step.Server+i)%len(s.servers)]
+		if host.ready && ready[host.backend.Pool] > leastServers {
+			host.ready = false
+			return host
 		}
 	}
 	return nil
@@ -301,19 +302,19 @@
 
 // drainServer lets a server leave in the orderly way; a new one takes its part.
 func drainServer(ctx context.Context, s *site, step Step) {
-	place := s.leaving(step)
-	if place == nil {
+	host := s.leaving(step)
+	if host == nil {
 		return
 	}
-	old := place.backend
-	if _, err := s.addServer(old.Pool, place.zone); err != nil {
+	old := host.backend
+	if _, err := s.addServer(old.Pool, host.zone); err != nil {
 		s.judge.violated("new server: %v", err)
 		return
 	}
 	s.store.Put(old.Key(), old.Entry("draining"))
 	s.judge.drains(old.Number)
-	sleep(ctx, drainBound+step.For)
-	defer s.judge.impair(serverNode(place.index))()
+	wait.For(ctx, drainBound+step.For)
+	defer s.judge.impair(serverNode(host.index))()
 	s.store.Delete(old.Key())
 	old.Close()
 }
@@ -328,23 +329,23 @@
 // crashServer ends a server without a word. A server of the other service gets its
 // address.
 func crashServer(ctx context.Context, s *site, step Step) {
-	place := s.leaving(step)
-	if place == nil {
+	host := s.leaving(step)
+	if host == nil {
 		return
 	}
-	defer s.judge.impair(serverNode(place.index))()
-	old := place.backend
+	defer s.judge.impair(serverNode(host.index))()
+	old := host.backend
 	old.Close()
-	sleep(ctx, registrationLapse)
+	wait.For(ctx, registrationLapse)
 	s.store.Delete(old.Key())
-	sleep(ctx, addressReuse)
+	wait.For(ctx, addressReuse)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := counterRoute
 	if old.Pool == counterRoute {
 		next = guideRoute
 	}
-	if err := s.occupy(place, next); err != nil {
+	if err := s.occupy(host, next); err != nil {
 		s.judge.violated("server on a used address: %v", err)
 	}
 }
@@ -353,13 +354,13 @@
 func restartServer(_ context.Context, s *site, step Step) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	place := s.servers[step.Server%len(s.servers)]
-	if !place.ready {
+	host := s.servers[step.Server%len(s.servers)]
+	if !host.ready {
 		return
 	}
-	defer s.judge.impair(serverNode(place.index))()
-	place.backend.Restart()
-	s.store.Put(place.backend.Key(), place.backend.Entry("ready"))
+	defer s.judge.impair(serverNode(host.index))()
+	host.backend.Restart()
+	s.store.Put(host.backend.Key(), host.backend.Entry("ready"))
 }
 
 // changeConfig adds or drops a route and checks it at each daemon in touch when the
@@ -369,7 +370,7 @@
 	present := !s.present
 	s.mu.Unlock()
 	s.configure(present)
-	if !sleep(ctx, configBound+awaitPoll) {
+	if !wait.For(ctx, configBound+awaitPoll) {
 		return
 	}
 	s.probe(ctx)
@@ -381,7 +382,7 @@
 func stormConfig(ctx context.Context, s *site, step Step) {
 	for i := range 4 * step.Count {
 		s.configure(i%2 == 0)
-		sleep(ctx, stormPause)
+		wait.For(ctx, stormPause)
 	}
 	changeConfig(ctx, s, step)
 }
