Wait for conditions in one place, count servers while building

Cause: the soak and the site of entry daemons each had a loop that waits for a condition, and a directory kept a second map of all servers only to count them. Change: wait.Until serves both; Build counts. Ruled out as one function: the loops of tests, which end their test.

--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -256,12 +256,13 @@
 		routes:   b.routes,
 		pools:    map[string][]*Server{},
 		byCookie: make(map[Cookie]*Server, len(b.servers)),
-		byName:   make(map[string]*Server, len(b.servers)),
 		vms:      maps.Clone(b.vms),
 	}
 	missing := map[string][]*Server{}
 	for _, s := range b.ordered() {
-		d.byName[s.Name] = s
+		if !s.Retired {
+			d.servers++
+		}
 		if d.byCookie[s.Cookie] != nil {
 			continue // the server that registered first keeps the cookie
 		}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -112,7 +112,7 @@
 	routes   map[netip.AddrPort]*Route
 	pools    map[string][]*Server
 	byCookie map[Cookie]*Server
-	byName   map[string]*Server
+	servers  int
 	vms      map[netip.Addr]*VM
 }
 
@@ -140,12 +140,4 @@
 func (d *Directory) ByCookie(c Cookie) *Server { return d.byCookie[c] }
 
 // Servers returns how many servers are known, retired ones left out.
-func (d *Directory) Servers() int {
-	n := 0
-	for _, s := range d.byName {
-		if !s.Retired {
-			n++
-		}
-	}
-	return n
-}
+func (d *Directory) Servers() int { return d.servers }
--- a/standin/entrysite/site.go
+++ b/standin/entrysite/site.go
@@ -20,6 +20,7 @@
 	"knapweedshore.example/internal/events"
 	"knapweedshore.example/internal/metrics"
 	"knapweedshore.example/internal/settings"
+	"knapweedshore.example/internal/wait"
 	adapter "knapweedshore.example/platform"
 	"knapweedshore.example/standin/platform"
 )
@@ -233,18 +234,13 @@
 
 // await waits until the condition holds.
 func (s *site) await(ctx context.Context, what string, bound time.Duration, condition func() bool) error {
-	deadline := time.Now().Add(bound)
-	for !condition() {
-		if time.Now().After(deadline) {
-			return errors.Errorf("%s: not within %s", what, bound)
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(10 * time.Millisecond):
-		}
+	if wait.Until(ctx, bound, condition) {
+		return nil
 	}
-	return nil
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return errors.Errorf("%s: not within %s", what, bound)
 }
 
 // close ends everything that was started.
--- a/standin/soak/recovery.go
+++ b/standin/soak/recovery.go
@@ -47,7 +47,7 @@
 // checkRecovery checks that all daemons are back and current, and that callers are
 // served again.
 func (s *site) checkRecovery(ctx context.Context) {
-	if !s.await(ctx, recoveryBound, func() bool { return s.rotation.InRotation() == len(s.machines) }) && ctx.Err() == nil {
+	if !wait.Until(ctx, recoveryBound, func() bool { return s.rotation.InRotation() == len(s.machines) }) && ctx.Err() == nil {
 		s.judge.violated("%d of %d daemons in the rotation %s after the final fault", s.rotation.InRotation(), len(s.machines), recoveryBound)
 	}
 	s.mu.Lock()
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -337,25 +337,12 @@
 		m.start()
 	}
 	s.relays.Go(func() { s.rotation.Poll(s.running) })
-	if !s.await(ctx, readyBound, func() bool { return s.rotation.InRotation() == len(s.machines) }) {
+	if !wait.Until(ctx, readyBound, func() bool { return s.rotation.InRotation() == len(s.machines) }) {
 		return errors.Errorf("%d of %d daemons ready within %s", s.rotation.InRotation(), len(s.machines), readyBound)
 	}
 	return nil
 }
 
-// await waits until a condition holds and reports whether it did in time.
-func (s *site) await(ctx context.Context, bound time.Duration, condition func() bool) bool {
-	for deadline := time.Now().Add(bound); !condition(); {
-		if time.Now().After(deadline) || !wait.For(ctx, awaitPoll) {
-			return false
-		}
-	}
-	return true
-}
-
-// awaitPoll is how often a condition is looked at.
-const awaitPoll = 20 * time.Millisecond
-
 // close ends everything that was started.
 func (s *site) close() {
 	for _, m := range s.machines {
--- a/standin/soak/steps.go
+++ b/standin/soak/steps.go
@@ -73,7 +73,7 @@
 		m.terminate(ctx)
 		wait.For(ctx, startPause)
 		m.start()
-		s.await(ctx, readyBound, func() bool { st, err := m.status(ctx); return err == nil && st.Ready })
+		wait.Until(ctx, readyBound, func() bool { st, err := m.status(ctx); return err == nil && st.Ready })
 		end()
 	}
 }
@@ -363,6 +363,9 @@
 	s.store.Put(host.backend.Key(), host.backend.Entry("ready"))
 }
 
+// probeMargin lets the bound of a change pass before the probes.
+const probeMargin = 20 * time.Millisecond
+
 // changeConfig adds or drops a route and checks it at each daemon in touch when the
 // bound has passed.
 func changeConfig(ctx context.Context, s *site, _ Step) {
@@ -370,7 +373,7 @@
 	present := !s.present
 	s.mu.Unlock()
 	s.configure(present)
-	if !wait.For(ctx, configBound+awaitPoll) {
+	if !wait.For(ctx, configBound+probeMargin) {
 		return
 	}
 	s.probe(ctx)
