Count reads of the list of VMs apart from calls for the tables

Cause: outage-calls-watchers allows 12 store calls in the first second after an outage, two for each of six watchers, and counted 13 now and then. Each of the eight daemons also reads the list of VMs every ten minutes at a random time; the odd call is such a read.

Change: the stand-in counts these reads apart.

--- a/standin/scenario/command.go
+++ b/standin/scenario/command.go
@@ -99,7 +99,8 @@
 		}
 		return s.always(d, rest)
 	},
-	"calls": calls,
+	"calls": atMost("store calls for the tables", tableCalls),
+	"lists": atMost("reads of the list of VMs", listReads),
 }
 
 var errUsage = errors.New("wrong arguments; see the package documentation")
@@ -234,29 +235,32 @@
 	return nil
 }
 
-// calls checks the number of store calls since the last store command: "at most
-// 12 in 1s".
-func calls(s *site, args []string) error {
-	if len(args) != 5 || args[0] != "at" || args[1] != "most" || args[3] != "in" {
-		return errUsage
-	}
-	limit, err := strconv.Atoi(args[2])
-	if err != nil {
-		return err
-	}
-	d, err := time.ParseDuration(args[4])
-	if err != nil {
-		return err
-	}
-	time.Sleep(time.Until(s.storeCommandAt.Add(d)))
-	count := totalCalls(s.platform.Counts()) - totalCalls(s.callsBefore)
-	if count > limit {
-		return errors.Errorf("the site made %d store calls in %v, want at most %d", count, d, limit)
+// atMost returns a command that checks the number of store calls since the last store
+// command: "at most 12 in 1s". what names the calls that count selects.
+func atMost(what string, count func(standinstore.Counts) int) command {
+	return func(s *site, args []string) error {
+		if len(args) != 5 || args[0] != "at" || args[1] != "most" || args[3] != "in" {
+			return errUsage
+		}
+		limit, err := strconv.Atoi(args[2])
+		if err != nil {
+			return err
+		}
+		d, err := time.ParseDuration(args[4])
+		if err != nil {
+			return err
+		}
+		time.Sleep(time.Until(s.storeCommandAt.Add(d)))
+		if n := count(s.platform.Counts()) - count(s.callsBefore); n > limit {
+			return errors.Errorf("the site made %d %s in %v, want at most %d", n, what, d, limit)
+		}
+		return nil
 	}
-	return nil
 }
 
-func totalCalls(c standinstore.Counts) int { return c.Reads + c.Writes }
+func tableCalls(c standinstore.Counts) int { return c.Reads + c.Writes }
+
+func listReads(c standinstore.Counts) int { return c.Lists }
 
 func isUnknownOutcome(err error) bool { return errors.Is(err, store.ErrUnknownOutcome) }
 
--- a/standin/scenario/doc.go
+++ b/standin/scenario/doc.go
@@ -38,7 +38,8 @@
 //	await CONDITION           wait up to 10 s, counted from now; for setting up a state
 //	within D CONDITION        wait at most until D after the last accepted write or fault command
 //	always D CONDITION        check that it holds now and throughout D
-//	calls at most N in D      limit the site's store calls in D after the last store command
+//	calls at most N in D      limit the site's store calls for the tables in D after the last store command
+//	lists at most N in D      limit its reads of the list of VMs in the same way
 //
 // # Conditions
 //
--- a/standin/store/memory.go
+++ b/standin/store/memory.go
@@ -22,7 +22,7 @@
 
 // Get implements store.Store.
 func (m *Memory) Get(ctx context.Context, key string) (store.Value, error) {
-	if err := m.p.admitRead(ctx); err != nil {
+	if err := m.p.admitRead(ctx, &m.p.counts.Reads); err != nil {
 		return store.Value{}, err
 	}
 	m.p.mu.Lock()
@@ -72,7 +72,7 @@
 }
 
 func (m *Memory) watch(ctx context.Context, key string, after uint64, wait time.Duration) (store.Value, error) {
-	if err := m.p.admitRead(ctx); err != nil {
+	if err := m.p.admitRead(ctx, &m.p.counts.Reads); err != nil {
 		return store.Value{}, err
 	}
 	timeout := time.NewTimer(min(wait, m.p.options.WatchWait))
@@ -99,15 +99,15 @@
 
 // VMs implements store.Store.
 func (m *Memory) VMs(ctx context.Context) ([]store.VM, error) {
-	if err := m.p.admitRead(ctx); err != nil {
+	if err := m.p.admitRead(ctx, &m.p.counts.Lists); err != nil {
 		return nil, err
 	}
 	return m.p.visibleVMs(time.Now()), nil
 }
 
-// admitRead admits a read and delays its answer.
-func (p *Platform) admitRead(ctx context.Context) error {
-	if err := p.admit(p.reads, &p.counts.Reads); err != nil {
+// admitRead admits a read, adds it to count and delays its answer.
+func (p *Platform) admitRead(ctx context.Context, count *int) error {
+	if err := p.admit(p.reads, count); err != nil {
 		return err
 	}
 	if err := p.waitDelay(ctx); err != nil {
--- a/standin/store/platform.go
+++ b/standin/store/platform.go
@@ -68,10 +68,10 @@
 	vms       []store.VM
 }
 
-// Counts are the numbers of calls of a Platform. Throttled calls are also counted
-// as reads or writes.
+// Counts are the numbers of calls of a Platform. Lists are the reads of the list of
+// VMs, Reads all other reads. Throttled calls are also counted by their kind.
 type Counts struct {
-	Reads, Writes, Throttled int
+	Reads, Lists, Writes, Throttled int
 }
 
 // New returns an empty platform.
