--- a/standin/entrysite/callers.go
+++ b/standin/entrysite/callers.go
@@ -60,7 +60,7 @@
 		request := fmt.Sprintf("%s %d %d", pool, random.intN(1<<30), i)
 		response, err := flow.Request(s.router, request)
 		if err != nil {
-			s.report.addBrokenFlow("flow to %s on %s broke at request %d: %v", pool, server, i, err)
+			s.report.addBrokenFlow("flow to %s on %s, which %d servers accepted, broke at request %d: %v", pool, server, flow.Accepted(), i, err)
 			return
 		}
 		id, body, _ := strings.Cut(response, " ")
--- a/standin/fabric/ledger.go
+++ b/standin/fabric/ledger.go
@@ -130,7 +130,7 @@
 	l.violationCount++
 	if len(l.violations) < maxViolations {
 		l.violations = append(l.violations, Violation{
-			Promise: promiseOf[kind], Kind: kind, Flow: flow.String(),
+			Promise: promiseOf[kind], Kind: kind, Flow: flow.String(), Key: flow,
 			Detail: fmt.Sprintf(format, args...), At: time.Now(),
 		})
 	}
--- a/standin/fabric/violation.go
+++ b/standin/fabric/violation.go
@@ -62,8 +62,10 @@
 	Promise Promise       `json:"promise"`
 	Kind    ViolationKind `json:"kind"`
 	Flow    string        `json:"flow"`
-	Detail  string        `json:"detail"`
-	At      time.Time     `json:"at"`
+	// Key identifies the flow of a violation that was observed in the network.
+	Key    FlowKey   `json:"-"`
+	Detail string    `json:"detail"`
+	At     time.Time `json:"at"`
 }
 
 // String formats the violation on one line.
--- a/standin/platform/caller.go
+++ b/standin/platform/caller.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -63,8 +64,16 @@
 	// Echo is the cookie of the last packet received, which the next one repeats.
 	Echo     uint32
 	seq, ack uint32
+	// accepted holds the initial sequence number of each server that has accepted the
+	// flow. The flow is open at the first one.
+	accepted []uint32
 }
 
+// Accepted returns the number of servers whose answers to opening packets the caller
+// has received. With more than one, Echo may be the cookie of a server at which the
+// flow is not open.
+func (f *Flow) Accepted() int { return len(f.accepted) }
+
 // Open opens a flow to a service through the daemons that a router picks.
 func (c *Caller) Open(router Router, service netip.AddrPort) (*Flow, error) {
 	c.port++
@@ -171,6 +180,9 @@
 			return p, false, errors.New("packet has a wrong checksum")
 		}
 		f.Echo = p.Echo
+		if p.Flags&SYN != 0 && !slices.Contains(f.accepted, p.Seq) {
+			f.accepted = append(f.accepted, p.Seq)
+		}
 		return p, true, nil
 	}
 }
--- a/standin/site/check.go
+++ b/standin/site/check.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"time"
 
+	"knapweedshore.example/internal/tables"
 	"knapweedshore.example/standin/backend"
 	"knapweedshore.example/standin/caller"
 	"knapweedshore.example/standin/fabric"
+	"knapweedshore.example/standin/fabric/inet"
 )
 
 // crashImpactPeriod is the time after a crash during which flows may break because
@@ -14,6 +16,11 @@
 // some retransmissions.
 const crashImpactPeriod = 5 * time.Second
 
+// exceptionDelay is the longest time from the opening of a flow until the owner's
+// backup knows the flow's server. Design section 2.3: exceptions are sent every 250 ms,
+// and flows younger than that wait for the next batch.
+const exceptionDelay = 500 * time.Millisecond
+
 // Kinds of violations that show in the results of callers and servers and not in
 // the network.
 const (
@@ -42,6 +49,36 @@
 	changes    changeLog
 	executions *backend.Executions
 	violations []fabric.Violation
+	// unreplicated holds the UDP flows that were open at the crash and so young that
+	// the backup of their owner may not have known their server.
+	unreplicated map[fabric.FlowKey]bool
+}
+
+func newChecker(changes changeLog, executions *backend.Executions) *checker {
+	return &checker{changes: changes, executions: executions, unreplicated: make(map[fabric.FlowKey]bool)}
+}
+
+// recordIfUnreplicated adds the flow to unreplicated if it belongs there.
+func (c *checker) recordIfUnreplicated(r flowResult, s Service) {
+	killed := c.changes.killed
+	if s.Protocol != tables.UDP || killed.IsZero() || !overlaps(r, killed, killed) || r.Opened.Before(killed.Add(-exceptionDelay)) {
+		return
+	}
+	c.unreplicated[fabric.FlowKey{Protocol: inet.UDP, Caller: r.Caller, Service: s.Address}] = true
+}
+
+// splitByLimit separates the violations that the limit of design section 2.3 explains:
+// a UDP flow is not probed, so its new owner sends its payload to its default server
+// when the owner crashed before the backup knew of an exception.
+func (c *checker) splitByLimit(violations []fabric.Violation) (broken, limited []fabric.Violation) {
+	for _, v := range violations {
+		if v.Kind == fabric.SecondServer && c.unreplicated[v.Key] && v.At.After(c.changes.killed) {
+			limited = append(limited, v)
+		} else {
+			broken = append(broken, v)
+		}
+	}
+	return broken, limited
 }
 
 func (c *checker) addViolation(p fabric.Promise, k fabric.ViolationKind, flow string, at time.Time, format string, args ...any) {
--- a/standin/site/report.go
+++ b/standin/site/report.go
@@ -47,6 +47,7 @@
 		fmt.Fprintf(&b, "packets refused by balancers: %s %d\n", reason, s.Refusals[reason])
 	}
 	s.writeViolations(&b)
+	s.writeLimited(&b)
 	return b.String()
 }
 
@@ -121,3 +122,13 @@
 		}
 	}
 }
+
+func (s *Summary) writeLimited(b *strings.Builder) {
+	if len(s.Limited) == 0 {
+		return
+	}
+	fmt.Fprintf(b, "UDP flows whose owner crashed before its backup knew their server: %d\n", len(s.Limited))
+	for _, v := range s.Limited[:min(len(s.Limited), maxShownPerKind)] {
+		fmt.Fprintf(b, "    flow %s: %s\n", v.Flow, v.Detail)
+	}
+}
