Determine what servers share once for each new flow

Cause: for each candidate of a new flow, the choice asked the peer table whether the server's zone is silent, which looked at every peer (with 234 candidates and 194 peers some 100,000 steps a flow), and a registration was compared with every other server.

Change: an estimator holds the service time and the cost of each zone for one flow. The builder indexes the names of servers by cookie.

Tests of placement, directory and registry pass.

--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -86,7 +86,9 @@
 	// share it, since it can have thousands of entries and changes rarely.
 	routes  map[netip.AddrPort]*Route
 	servers map[string]*Server
-	vms     map[netip.Addr]*VM
+	// cookieUsers holds the names of the servers with each cookie, mostly one.
+	cookieUsers map[Cookie][]string
+	vms         map[netip.Addr]*VM
 	// expiredPools are the pools of which more than half was missing at once. Their
 	// missing servers take new flows.
 	expiredPools map[string]bool
@@ -97,7 +99,10 @@
 
 // NewBuilderWith returns an empty Builder with retention r.
 func NewBuilderWith(r Retention) *Builder {
-	return &Builder{retention: r, servers: map[string]*Server{}, vms: map[netip.Addr]*VM{}, expiredPools: map[string]bool{}}
+	return &Builder{
+		retention: r, servers: map[string]*Server{}, cookieUsers: map[Cookie][]string{},
+		vms: map[netip.Addr]*VM{}, expiredPools: map[string]bool{},
+	}
 }
 
 // Apply applies changes in order and raises the builder's revision to the given one.
@@ -199,15 +204,33 @@
 // register adds or replaces a server. It returns ReasonCollision if another server
 // has the same cookie; Build then gives the cookie to one of them.
 func (b *Builder) register(s *Server) string {
-	b.servers[s.Name] = s
-	for _, other := range b.servers {
-		if other != s && other.Cookie == s.Cookie && !other.Retired {
+	b.addServer(s)
+	for _, name := range b.cookieUsers[s.Cookie] {
+		if other := b.servers[name]; other != s && !other.Retired {
 			return ReasonCollision
 		}
 	}
 	return ""
 }
 
+// addServer adds or replaces a server. The cookie follows from the id and does not change.
+func (b *Builder) addServer(s *Server) {
+	if b.servers[s.Name] == nil {
+		b.cookieUsers[s.Cookie] = append(b.cookieUsers[s.Cookie], s.Name)
+	}
+	b.servers[s.Name] = s
+}
+
+func (b *Builder) deleteServer(s *Server) {
+	delete(b.servers, s.Name)
+	users := slices.DeleteFunc(b.cookieUsers[s.Cookie], func(name string) bool { return name == s.Name })
+	if len(users) == 0 {
+		delete(b.cookieUsers, s.Cookie)
+		return
+	}
+	b.cookieUsers[s.Cookie] = users
+}
+
 // markMissing handles a registration that has vanished. The server is kept for its
 // open flows; it is retired at once if it was draining, otherwise it has crashed or
 // its registration has expired with the store. lastState is used for a server that
@@ -223,7 +246,7 @@
 	missing := *old
 	missing.MissingSince = now
 	missing.Retired = old.Draining
-	b.servers[name] = &missing
+	b.addServer(&missing)
 }
 
 // Expire retires missing servers and deletes retired ones when their time is up. It
@@ -237,7 +260,7 @@
 		switch age := now.Sub(s.MissingSince); {
 		case s.MissingSince.IsZero():
 		case age >= b.retention.Retired && s.Retired:
-			delete(b.servers, name)
+			b.deleteServer(s)
 			changed = true
 		case age >= b.retention.Missing && confirmed.Sub(s.MissingSince) >= b.retention.Missing/3 && !s.Retired:
 			retired := *s
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -110,8 +110,9 @@
 	defer p.mu.Unlock()
 	var best *directory.Server
 	bestCost, ties := math.Inf(1), 0
+	e := estimator{placer: p, request: r, serviceTime: p.serviceTime(r.Route.Name).Seconds(), zoneCosts: map[string]float64{}}
 	for _, s := range r.Candidates {
-		cost := p.cost(s, r)
+		cost := e.cost(s)
 		switch {
 		case cost < bestCost:
 			best, bestCost, ties = s, cost, 1
@@ -128,26 +129,47 @@
 	return best, p.open(best, r, time.Duration(bestCost*float64(time.Second)))
 }
 
-// cost returns the expected time in seconds until the request finishes, plus the
-// penalties for servers and zones to avoid.
-func (p *Placer) cost(s *directory.Server, r Request) float64 {
+// estimator estimates the costs of the candidates for one flow. What does not differ
+// between servers, or between those of a zone, is determined once.
+type estimator struct {
+	placer  *Placer
+	request Request
+	// serviceTime is the average of the route in seconds.
+	serviceTime float64
+	zoneCosts   map[string]float64
+}
+
+// cost returns the expected time in seconds until the request finishes on a server, plus
+// the penalties for servers and zones to avoid.
+func (e *estimator) cost(s *directory.Server) float64 {
+	p, now := e.placer, e.request.Now
 	rec := p.state(s.Cookie)
 	if rec.started != s.Started {
 		rec.started, rec.slowness = s.Started, 1
 	}
 	slowness := rec.slowness
-	if s.Cold(r.Now) {
+	if s.Cold(now) {
 		slowness = max(slowness, coldSlowness)
 	}
-	cost := slowness * queueFactor(rec, s) * p.serviceTime(r.Route.Name).Seconds()
-	if s.Zone != p.zone {
-		cost += crossZoneCost.Seconds()
-		if p.zoneAvoided(s.Zone, r.Now) {
+	cost := slowness*queueFactor(rec, s)*e.serviceTime + e.zoneCost(s.Zone)
+	if p.serverAvoided(s.Cookie, rec, now) || s.Cookie == e.request.Avoid {
+		cost += suspicionPenalty.Seconds()
+	}
+	return cost
+}
+
+// zoneCost returns the cost of a zone's distance, and the penalty if it is to be avoided.
+func (e *estimator) zoneCost(zone string) float64 {
+	if zone == e.placer.zone {
+		return 0
+	}
+	cost, ok := e.zoneCosts[zone]
+	if !ok {
+		cost = crossZoneCost.Seconds()
+		if e.placer.zoneAvoided(zone, e.request.Now) {
 			cost += suspicionPenalty.Seconds()
 		}
-	}
-	if p.serverAvoided(s.Cookie, rec, r.Now) || s.Cookie == r.Avoid {
-		cost += suspicionPenalty.Seconds()
+		e.zoneCosts[zone] = cost
 	}
 	return cost
 }
