--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -280,20 +280,6 @@
 	}
 }
 
-// UncountMoved stops counting the requests of flows that have probably moved to other
-// daemons. It is called after changes of the routers' rotation: the daemons that get the
-// packets now do not know these flows, so nobody sees their requests end, and servers
-// would seem to be busy until the flows time out.
-func (e *Engine) UncountMoved(now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, f := range e.flows {
-		if f.hasProbablyMoved(now) {
-			e.placer.Uncount(f.ticket)
-		}
-	}
-}
-
 // FlowCount returns the number of flows in the flow table.
 func (e *Engine) FlowCount() int {
 	e.mu.Lock()
--- a/internal/cookie/engine_test.go
+++ b/internal/cookie/engine_test.go
@@ -235,18 +235,16 @@
 	h.is.Equal(h.metrics.Refusals().Value(metrics.NoTables), int64(1))
 }
 
-// inProgress returns the number of requests that count as in progress.
-func inProgress(h *harness) int {
-	n := 0
-	for _, k := range h.engine.placer.Load(h.now).InProgress {
-		n += k
-	}
-	return n
-}
-
 // Guards against requests that count as in progress forever, which would keep
 // new flows away from an idle server.
 func TestRequestsInProgressEndWithTheirFlows(t *testing.T) {
+	inProgress := func(h *harness) int {
+		n := 0
+		for _, k := range h.engine.placer.Load(h.now).InProgress {
+			n += k
+		}
+		return n
+	}
 	for name, end := range map[string]func(h *harness, c directory.Cookie){
 		"response":       func(h *harness, c directory.Cookie) { h.send(Packet{Cookie: c, Ack: 50}) },
 		"caller's end":   func(h *harness, c directory.Cookie) { h.send(Packet{Cookie: c, Ends: true}) },
@@ -277,56 +275,6 @@
 	})
 }
 
-// Guards against flows that have moved to another daemon and count as load of their
-// servers until they time out, and against requests that count as moved although they
-// need not have ended yet. After a restart of all daemons, a quarter of the flows of the
-// first half second counted for 1.6 s.
-func TestMovedFlowsDoNotCountAsLoad(t *testing.T) {
-	request := func(t *testing.T) (*harness, directory.Cookie) {
-		h := newHarness(t)
-		c := h.open(0)
-		h.send(Packet{Cookie: c})
-		h.send(Packet{Cookie: c, PayloadLen: 10})
-		return h, c
-	}
-	t.Run("moved", func(t *testing.T) {
-		h, c := request(t)
-		h.now = h.now.Add(minMovedSilence)
-		h.engine.UncountMoved(h.now)
-		h.is.Equal(inProgress(h), 1)
-		h.now = h.now.Add(time.Millisecond)
-		h.engine.UncountMoved(h.now)
-		h.engine.UncountMoved(h.now)
-		h.is.Equal(inProgress(h), 0)
-		h.send(Packet{Cookie: c, Ack: 50}) // the response has arrived after all
-		h.is.Equal(inProgress(h), 0)
-	})
-	t.Run("timed out", func(t *testing.T) {
-		h, _ := request(t)
-		h.now = h.now.Add(minMovedSilence + time.Millisecond)
-		h.engine.UncountMoved(h.now)
-		h.open(0) // a copy of the opening packet changes nothing
-		h.now = h.now.Add(3 * time.Second)
-		h.engine.Expire(h.now)
-		h.is.Equal(inProgress(h), 0)
-	})
-	t.Run("busy servers", func(t *testing.T) {
-		h, _ := request(t)
-		key := flowKey{caller, service}
-		for range 40 { // requests of other callers, so that long queues are expected
-			h.engine.placer.Choose(placement.Request{Route: h.engine.flows[key].route, Candidates: h.directories.current.Candidates("p"), Now: h.now})
-		}
-		caller = netip.MustParseAddrPort("100.64.0.1:1026")
-		defer func() { caller = key.caller }()
-		c := h.open(0)
-		h.send(Packet{Cookie: c})
-		h.now = h.now.Add(movedFactor * h.engine.flows[flowKey{caller, service}].ticket.ExpectedLatency())
-		h.is.True(h.now.Sub(epoch) > minMovedSilence)
-		h.engine.UncountMoved(h.now)
-		h.is.Equal(inProgress(h), 41) // all but the request that was expected to be short
-	})
-}
-
 // Guards against forwarding bytes that are not a packet.
 func TestMalformedPacketsAreCounted(t *testing.T) {
 	h := newHarness(t)
--- a/internal/cookie/flows.go
+++ b/internal/cookie/flows.go
@@ -32,15 +32,6 @@
 	placedAt time.Time
 }
 
-// A flow whose response is overdue by this much has probably moved to another daemon, if
-// the routers have just changed their rotation.
-const (
-	// minMovedSilence is the minimum time without a packet, and movedFactor the multiple
-	// of the time that the request was expected to take.
-	minMovedSilence = 250 * time.Millisecond
-	movedFactor     = 3
-)
-
 // Limits on flow records.
 const (
 	// maxFlows is the maximum number of records, of about 300 bytes each. Flows
@@ -68,16 +59,6 @@
 	return idle > f.timeout()
 }
 
-// hasProbablyMoved reports whether the packets of a flow seem to arrive at another daemon
-// since the last change of the rotation: the server has accepted it, and nothing has
-// followed for longer than its request should take.
-func (f *flow) hasProbablyMoved(now time.Time) bool {
-	if f.ticket == nil || !f.established {
-		return false
-	}
-	return now.Sub(f.lastSeen) > max(minMovedSilence, movedFactor*f.ticket.ExpectedLatency())
-}
-
 func (f *flow) timeout() time.Duration {
 	if f.route == nil || f.route.Timeout <= 0 {
 		return defaultTimeout
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -44,10 +44,6 @@
 	drainPollInterval = 50 * time.Millisecond
 	// expireInterval is how often finished flows and old peer reports are deleted.
 	expireInterval = 100 * time.Millisecond
-	// rotationSettleTime is how long flows may still move to other daemons after one has
-	// started or begun to leave: the fabric notices within a second, and the flows that
-	// have moved fall silent after that.
-	rotationSettleTime = 2 * time.Second
 	// directoryPollInterval is how often a starting daemon checks whether it has a
 	// directory.
 	directoryPollInterval = time.Millisecond
@@ -82,15 +78,14 @@
 	killed   chan struct{}
 	killOnce sync.Once
 
-	data      *net.UDPConn
-	ready     net.Listener
-	startedAt time.Time
+	data  *net.UDPConn
+	ready net.Listener
 }
 
 // New creates a daemon and opens its sockets. Call Run or Close next.
 func New(o Options) (*Daemon, error) {
 	watch := registry.WatchTimesFor(o.Settings.RecoveryTime, o.Settings.ReactionTime())
-	d := &Daemon{options: o, startedAt: time.Now(), killed: make(chan struct{}), pauses: newPauseMonitor(time.Now()), placer: placement.New(o.Settings.Zone, rand.Uint64())}
+	d := &Daemon{options: o, killed: make(chan struct{}), pauses: newPauseMonitor(time.Now()), placer: placement.New(o.Settings.Zone, rand.Uint64())}
 	d.follower = registry.NewFollower(registry.Options{
 		Source: o.Source, Decoder: o.Decoder, Log: o.Log, Metrics: o.Metrics, Watch: watch,
 		Keep:     directory.RetentionFor(o.Settings.DrainTime, o.Settings.FlowLifetime),
@@ -300,15 +295,6 @@
 		now := time.Now()
 		d.pauses.tick(now)
 		d.engine.Expire(now)
-		if d.rotationChanges(now) {
-			d.engine.UncountMoved(now)
-		}
 		d.placer.ExpirePeers(now)
 	}
 }
-
-// rotationChanges reports whether the fabric may just have moved flows between daemons,
-// because this daemon or another one has started or begun to leave.
-func (d *Daemon) rotationChanges(now time.Time) bool {
-	return now.Sub(d.startedAt) < rotationSettleTime || now.Sub(d.table.RotationChangedAt()) < rotationSettleTime
-}
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -130,9 +130,6 @@
 	// none has. newestRevision is the highest revision reported by a peer.
 	behindSince    time.Time
 	newestRevision uint64
-	// rotationChangedAt is when a daemon last started or began to leave, zero if that
-	// has not been seen.
-	rotationChangedAt time.Time
 	// unwatchedSince is the time since which no daemon with precedence has watched the
 	// store, zero while one does.
 	unwatchedSince time.Time
@@ -261,9 +258,6 @@
 		p.zone = r.Zone
 		t.zone(r.Zone, now).peers++
 	}
-	if r.Start != p.lastReport.Start || r.Leaving != p.lastReport.Leaving {
-		t.rotationChangedAt = now
-	}
 	p.lastReport, p.lastSeen = r, now
 	t.zone(r.Zone, now).heardAt = now
 	if r.Zone == t.ownZone {
@@ -277,14 +271,6 @@
 	return true
 }
 
-// RotationChangedAt returns when a report last showed that a daemon has started or is about
-// to stop, which changes the routers' rotation within the next second. It is zero before.
-func (t *PeerTable) RotationChangedAt() time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.rotationChangedAt
-}
-
 // isOutdated reports whether a report is older than the last one of the peer. The
 // wall clock, and with it Start, may have stepped back between two processes of a VM.
 // An earlier Start therefore counts as a new process once the peer has been silent
--- a/internal/exchange/table_test.go
+++ b/internal/exchange/table_test.go
@@ -290,29 +290,6 @@
 	is.True(table.RecordReport(from, Report{Zone: zoneName(0), Start: 7, Sequence: 2}, later))
 }
 
-// Guards against flows that move because a daemon starts or leaves and are not noticed,
-// and against a change of the rotation that is seen in each report.
-func TestRotationChangesWhenADaemonStartsOrLeaves(t *testing.T) {
-	is := is.New(t)
-	table := newRegion(2)[0].table
-	at := func(seconds int) time.Time { return epoch.Add(time.Duration(seconds) * time.Second) }
-	for i, step := range []struct {
-		report  Report
-		changes bool
-	}{
-		{Report{Start: 1, Sequence: 1}, true},
-		{Report{Start: 1, Sequence: 2}, false},
-		{Report{Start: 1, Sequence: 3, Leaving: true}, true},
-		{Report{Start: 1, Sequence: 4, Leaving: true}, false},
-		{Report{Start: 2, Sequence: 1}, true},
-		{Report{Start: 2, Sequence: 2}, false},
-	} {
-		step.report.Zone = zoneName(0)
-		is.True(table.RecordReport(addr(0, 2), step.report, at(i)))
-		is.Equal(table.RotationChangedAt().Equal(at(i)), step.changes)
-	}
-}
-
 // Guards against accepting reports from unknown addresses, and against a daemon without
 // a directory that finds no peers.
 func TestAllowedAddresses(t *testing.T) {
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -38,10 +38,7 @@
 	// expected is the estimated time until the response.
 	expected time.Duration
 	answered bool
-	// uncounted is set if the request no longer counts as in progress although its
-	// response has not been seen.
-	uncounted bool
-	closed    bool
+	closed   bool
 }
 
 // ExpectedLatency returns the time until the response that was estimated when the
@@ -125,24 +122,6 @@
 		return
 	}
 	t.closed = true
-	if !t.uncounted {
-		p.endProgress(t)
-	}
-}
-
-// Uncount stops counting the request as in progress. Its response still updates the
-// averages if it is seen.
-func (p *Placer) Uncount(t *Ticket) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !t.closed && !t.uncounted {
-		t.uncounted = true
-		p.endProgress(t)
-	}
-}
-
-// endProgress removes the request from those in progress.
-func (p *Placer) endProgress(t *Ticket) {
 	if rec := p.servers[t.server]; rec != nil && rec.inProgress > 0 {
 		rec.inProgress--
 		p.onChange()
