Spread the first watches of a fleet that starts

Cause: daemons that know only seeds began to watch the store when half of the maximum age had passed, all in the same second, and daemons of the later zones took the watch after 0.5 s, before the first reports came.

Change: the daemons that know only seeds wait for a random part of the other half, and those of later zones for a second, as long as a registered daemon may need to report.

Each daemon still makes one long watch at the first start; what binds is that a daemon learns the others' registrations from the store before their reports count.

--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -4,6 +4,7 @@
 package exchange
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -130,6 +131,8 @@
 	// none has. newestRevision is the highest revision reported by a peer.
 	behindSince    time.Time
 	newestRevision uint64
+	// startJitter spreads the first watches of daemons that know only seeds.
+	startJitter time.Duration
 	// unwatchedSince is the time since which no daemon with precedence has watched the
 	// store, zero while one does.
 	unwatchedSince time.Time
@@ -167,7 +170,7 @@
 func NewPeerTable(o PeerTableOptions) *PeerTable {
 	return &PeerTable{
 		self: o.Self, ownZone: o.Zone, maxAge: o.MaxAge, ownState: o.OwnState, seeds: o.Seeds,
-		peers: map[netip.Addr]*peer{}, zones: map[string]*zone{},
+		peers: map[netip.Addr]*peer{}, zones: map[string]*zone{}, startJitter: rand.N(o.MaxAge / 2),
 	}
 }
 
@@ -395,7 +398,7 @@
 	if !t.behindSince.IsZero() && now.Sub(t.behindSince) > catchUpGrace {
 		return true
 	}
-	if _, age := t.ownState(now); t.knowsOnlySeeds() && age <= t.maxAge/2 {
+	if _, age := t.ownState(now); t.knowsOnlySeeds() && age <= t.maxAge/2+t.startJitter {
 		return false
 	}
 	if t.isWatched(now) {
@@ -454,7 +457,7 @@
 		}
 	}
 	if len(zonesBefore) >= maxWatchingZones {
-		return maxTakeoverDelay
+		return introductionTime
 	}
 	return t.precedenceDelay(now)
 }
