--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -126,7 +126,7 @@
 	mu    sync.Mutex
 	seeds []netip.Addr
 	peers map[netip.Addr]*peer
-	zones map[string]*zone
+	zones map[string]*zoneState
 	// behindSince is the time since which some peer has had a higher revision, zero if
 	// none has. newestRevision is the highest revision reported by a peer.
 	behindSince    time.Time
@@ -140,8 +140,8 @@
 	zoneRotation, crossZoneRotation rotation
 }
 
-// zone is what a daemon knows of an availability zone.
-type zone struct {
+// zoneState is what a daemon knows of an availability zone.
+type zoneState struct {
 	id ZoneID
 	// peers is the number of known daemons.
 	peers int
@@ -170,7 +170,7 @@
 func NewPeerTable(o PeerTableOptions) *PeerTable {
 	return &PeerTable{
 		self: o.Self, ownZone: o.Zone, maxAge: o.MaxAge, ownState: o.OwnState, seeds: o.Seeds,
-		peers: map[netip.Addr]*peer{}, zones: map[string]*zone{}, startJitter: rand.N(o.MaxAge / 2),
+		peers: map[netip.Addr]*peer{}, zones: map[string]*zoneState{}, startJitter: rand.N(o.MaxAge / 2),
 	}
 }
 
@@ -208,7 +208,7 @@
 		if addr != t.self && t.peers[addr] == nil {
 			t.addPeer(addr, vm.Zone, now)
 		}
-		t.zone(vm.Zone, now)
+		t.getOrAddZone(vm.Zone, now)
 	}
 	for addr, p := range t.peers {
 		recent := !p.lastSeen.IsZero() && now.Sub(p.lastSeen) <= peerRetention
@@ -219,11 +219,11 @@
 	}
 }
 
-// zone returns the state of a zone, which it adds if it is new.
-func (t *PeerTable) zone(name string, now time.Time) *zone {
+// getOrAddZone returns the state of a zone, which it adds if it is new.
+func (t *PeerTable) getOrAddZone(name string, now time.Time) *zoneState {
 	z := t.zones[name]
 	if z == nil {
-		z = &zone{id: zoneID(name), listeningSince: now}
+		z = &zoneState{id: zoneID(name), listeningSince: now}
 		t.zones[name] = z
 	}
 	return z
@@ -232,7 +232,7 @@
 func (t *PeerTable) addPeer(addr netip.Addr, zone string, now time.Time) *peer {
 	p := &peer{addr: addr, zone: zone, knownSince: now}
 	t.peers[addr] = p
-	t.zone(zone, now).peers++
+	t.getOrAddZone(zone, now).peers++
 	return p
 }
 
@@ -259,10 +259,10 @@
 	if p.zone != r.Zone {
 		t.zones[p.zone].peers--
 		p.zone = r.Zone
-		t.zone(r.Zone, now).peers++
+		t.getOrAddZone(r.Zone, now).peers++
 	}
 	p.lastReport, p.lastSeen = r, now
-	t.zone(r.Zone, now).heardAt = now
+	t.getOrAddZone(r.Zone, now).heardAt = now
 	if r.Zone == t.ownZone {
 		t.recordWatchers(p, r, now)
 		t.recordZones(r, now)
@@ -296,250 +296,6 @@
 	}
 }
 
-// recordWatchers records which daemons of the own zone watch the store according to a
-// report of p, which belongs to it.
-func (t *PeerTable) recordWatchers(p *peer, r Report, now time.Time) {
-	if r.Watching && !r.Leaving && r.Age <= t.maxAge {
-		p.watchingAt = now
-	} else {
-		p.notWatchingAt = now
-	}
-	for addr, age := range r.Watchers {
-		if w := t.peers[addr]; w != nil && w.zone == t.ownZone && now.Add(-age).After(w.watchingAt) {
-			w.watchingAt = now.Add(-age)
-		}
-	}
-}
-
-// recordZones records which zones the own zone hears according to a report from it.
-func (t *PeerTable) recordZones(r Report, now time.Time) {
-	if !t.isRegionLarge() {
-		return
-	}
-	for _, z := range t.zones {
-		if age, ok := r.Zones[z.id]; ok && now.Add(-age).After(z.heardAt) {
-			z.heardAt = now.Add(-age)
-		}
-	}
-}
-
-// isRegionLarge reports whether a daemon hears of other zones so rarely that the daemons
-// of a zone share what they hear. In a small region, each relies on its own reports,
-// because what another daemon hears does not tell whether this one is cut off.
-func (t *PeerTable) isRegionLarge() bool {
-	return !t.isMesh() || t.otherZonePeerCount() > maxMissedReports*crossZoneBatch
-}
-
-// HeardZones returns the age of the last report from each other zone, for the reports
-// of this daemon.
-func (t *PeerTable) HeardZones(now time.Time) map[ZoneID]time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := map[ZoneID]time.Duration{}
-	for name, z := range t.zones {
-		if name != t.ownZone && !z.heardAt.IsZero() {
-			out[z.id] = now.Sub(z.heardAt)
-		}
-	}
-	return out
-}
-
-// watches reports whether a peer of the own zone watches the store, as far as is known.
-func (t *PeerTable) watches(p *peer, now time.Time) bool {
-	return p.zone == t.ownZone && p.watchingAt.After(p.notWatchingAt) && now.Sub(p.watchingAt) <= t.maxWatcherSilence()
-}
-
-// maxWatcherSilence returns how long the last report of a live watcher may be ago.
-func (t *PeerTable) maxWatcherSilence() time.Duration {
-	if t.isMesh() {
-		return t.maxSilence(t.ownZone)
-	}
-	return maxWatcherSilence
-}
-
-// Watchers returns the age of the last report of each daemon of the own zone that
-// watches the store, for the reports of this daemon.
-func (t *PeerTable) Watchers(now time.Time) map[netip.Addr]time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := map[netip.Addr]time.Duration{}
-	for addr, p := range t.peers {
-		if t.watches(p, now) {
-			out[addr] = now.Sub(p.watchingAt)
-		}
-	}
-	return out
-}
-
-// ShouldWatch implements registry.WatcherRole. A daemon watches the store
-//
-//   - if no daemon of its zone with a lower address watches, and fewer than
-//     maxWatchingZones zones with a lower name have fresh daemons,
-//   - if its directory has not been confirmed for longer than MaxAge, or
-//   - if it has been behind its peers for longer than catchUpGrace.
-//
-// A daemon is fresh if it has reported recently, is not leaving and has a directory
-// that is not older than MaxAge.
-//
-// A daemon whose calls to the store fail does not report that it watches, so that
-// the next one takes over. The age of its directory does not show the failure, because
-// its peers keep confirming the directory.
-//
-// When the watch is free, each daemon first leaves it to those with precedence, so that
-// not all of a large zone call the store at once. When a whole fleet starts for the first
-// time, the seeds watch and tell the others of each other.
-func (t *PeerTable) ShouldWatch(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.updateBehindSince(now)
-	if _, age := t.ownState(now); age > t.maxAge+t.maxAgeExtension(now) {
-		return true
-	}
-	if !t.behindSince.IsZero() && now.Sub(t.behindSince) > catchUpGrace {
-		return true
-	}
-	if _, age := t.ownState(now); t.knowsOnlySeeds() && age <= t.maxAge/2+t.startJitter {
-		return false
-	}
-	if t.isWatched(now) {
-		t.unwatchedSince = time.Time{}
-		return false
-	}
-	if t.unwatchedSince.IsZero() {
-		t.unwatchedSince = now
-	}
-	return now.Sub(t.unwatchedSince) >= t.takeoverDelay(now)
-}
-
-// knowsOnlySeeds reports whether this daemon is no seed and knows no daemons but seeds.
-func (t *PeerTable) knowsOnlySeeds() bool {
-	if len(t.seeds) == 0 || slices.Contains(t.seeds, t.self) {
-		return false
-	}
-	for addr := range t.peers {
-		if !slices.Contains(t.seeds, addr) {
-			return false
-		}
-	}
-	return true
-}
-
-// isWatched reports whether other daemons watch the store for this one.
-func (t *PeerTable) isWatched(now time.Time) bool {
-	coveredZones := map[string]bool{}
-	large := t.isRegionLarge()
-	for _, p := range t.peers {
-		if p.addr.Less(t.self) && t.watches(p, now) {
-			return true
-		}
-		if p.zone < t.ownZone && !large && t.isFresh(p, now) {
-			coveredZones[p.zone] = true
-		}
-	}
-	for name, z := range t.zones {
-		// No single daemon of another zone reports often in a large region. The age of
-		// the own directory shows whether the zone has the news.
-		if name < t.ownZone && large && !z.heardAt.IsZero() && !t.isSilent(name, now) {
-			coveredZones[name] = true
-		}
-	}
-	return len(coveredZones) >= maxWatchingZones
-}
-
-// takeoverDelay returns how long this daemon leaves a free watch to the daemons with
-// precedence: those of its zone with a lower address and, in all but the first zones,
-// those of zones with a lower name.
-func (t *PeerTable) takeoverDelay(now time.Time) time.Duration {
-	zonesBefore := map[string]bool{}
-	for _, p := range t.peers {
-		if p.zone < t.ownZone && t.mayBeAlive(p, now) {
-			zonesBefore[p.zone] = true
-		}
-	}
-	if len(zonesBefore) >= maxWatchingZones {
-		return introductionTime
-	}
-	return t.precedenceDelay(now)
-}
-
-// precedenceDelay returns how long this daemon leaves a call to the daemons of its zone
-// with a lower address.
-func (t *PeerTable) precedenceDelay(now time.Time) time.Duration {
-	before := 0
-	for _, p := range t.peers {
-		if p.zone == t.ownZone && p.addr.Less(t.self) && t.mayBeAlive(p, now) {
-			before++
-		}
-	}
-	return min(maxTakeoverDelay, time.Duration(before)*takeoverStep)
-}
-
-// maxAgeExtension returns how long this daemon leaves it to those with precedence to
-// confirm a directory that is too old. In a small zone it costs little that all do so.
-func (t *PeerTable) maxAgeExtension(now time.Time) time.Duration {
-	if t.isMesh() {
-		return 0
-	}
-	return t.precedenceDelay(now)
-}
-
-// mayBeAlive reports whether a peer is fresh, or may be although it has not reported yet.
-func (t *PeerTable) mayBeAlive(p *peer, now time.Time) bool {
-	return t.isFresh(p, now) || t.isBeingIntroduced(p, now)
-}
-
-// isBeingIntroduced reports whether a peer that has not reported yet may be alive.
-func (t *PeerTable) isBeingIntroduced(p *peer, now time.Time) bool {
-	return p.lastSeen.IsZero() && !p.knownSince.IsZero() && now.Sub(p.knownSince) < introductionTime
-}
-
-// isFresh reports whether a peer is alive, is not leaving and has a directory that was
-// confirmed within maxAge.
-func (t *PeerTable) isFresh(p *peer, now time.Time) bool {
-	sinceReport := now.Sub(p.lastSeen)
-	return !p.lastSeen.IsZero() && !p.lastReport.Leaving && sinceReport <= t.maxSilence(p.zone) && p.lastReport.Age+sinceReport <= t.maxAge
-}
-
-// maxSilence returns how long a live peer of a zone may send no report.
-func (t *PeerTable) maxSilence(zone string) time.Duration {
-	if zone == t.ownZone {
-		return max(minSilence, maxMissedReports*t.zoneHeartbeat())
-	}
-	z := t.zones[zone]
-	batch := crossZoneBatchOf(z.peers)
-	rounds := (1 + len(t.peers) - z.peers + batch - 1) / batch
-	return max(minSilence, maxMissedReports*time.Duration(rounds)*crossZoneInterval)
-}
-
-// crossZoneBatchOf returns the number of peers in other zones to which each daemon of a
-// zone sends a report at a time.
-func crossZoneBatchOf(daemons int) int {
-	if isMesh(daemons) {
-		return crossZoneBatch
-	}
-	return largeCrossZoneBatch
-}
-
-// zoneHeartbeat returns the maximum time between two reports to the same peer of the
-// own zone.
-func (t *PeerTable) zoneHeartbeat() time.Duration {
-	n := t.zonePeerCount()
-	if t.isMesh() {
-		return max(heartbeatInterval, zoneInterval(n))
-	}
-	return heartbeatInterval * time.Duration((n+zoneBatch-1)/zoneBatch)
-}
-
-// isMesh reports whether all daemons of a zone report to each other.
-func isMesh(daemons int) bool { return daemons-1 <= maxMeshPeers }
-
-func (t *PeerTable) isMesh() bool { return isMesh(1 + t.zonePeerCount()) }
-
-// zoneInterval returns the minimum time between two rounds of reports to n peers.
-func zoneInterval(n int) time.Duration {
-	return max(minZoneInterval, time.Duration(n)*zoneIntervalPerPeer)
-}
-
 // zonePeerCount returns the number of peers in the own zone.
 func (t *PeerTable) zonePeerCount() int {
 	if z := t.zones[t.ownZone]; z != nil {
@@ -550,44 +306,6 @@
 
 func (t *PeerTable) otherZonePeerCount() int { return len(t.peers) - t.zonePeerCount() }
 
-// ZoneSilent reports whether all daemons of another zone have been silent for so long
-// that the zone is probably cut off.
-func (t *PeerTable) ZoneSilent(zone string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.isSilent(zone, now)
-}
-
-func (t *PeerTable) isSilent(zone string, now time.Time) bool {
-	z := t.zones[zone]
-	// In a zone without daemons, silence does not tell whether servers are reachable.
-	if zone == t.ownZone || z == nil || z.peers == 0 {
-		return false
-	}
-	lastHeard := z.listeningSince
-	if z.heardAt.After(lastHeard) {
-		lastHeard = z.heardAt
-	}
-	return now.Sub(lastHeard) > t.maxZoneSilence(z)
-}
-
-// maxZoneSilence returns how long a whole zone may send no report. All daemons of the
-// zone send reports in turn, so the more it has, the shorter the time. In a large region,
-// each report counts for all daemons of the zone that gets it.
-func (t *PeerTable) maxZoneSilence(z *zone) time.Duration {
-	others := 1 + len(t.peers) - z.peers
-	reports := crossZoneBatchOf(z.peers) * max(1, z.peers)
-	shortest := max(minSilence, maxMissedReports*crossZoneInterval)
-	if !t.isRegionLarge() {
-		interval := crossZoneInterval * time.Duration(others) / time.Duration(reports)
-		return max(shortest, maxMissedReports*interval)
-	}
-	reports *= 1 + t.zonePeerCount()
-	interval := crossZoneInterval * time.Duration(others) / time.Duration(reports)
-	// The reports to a whole zone come at random times and not in turn.
-	return max(shortest, 2*maxMissedReports*interval+spreadTime)
-}
-
 // FetchCandidates returns the live peers that have a higher revision than this daemon,
 // those of the own zone first. If this daemon has no directory, it returns all peers
 // and seeds, since any of them may have one.
@@ -614,63 +332,3 @@
 	}
 	return append(sameZone, others...)
 }
-
-// ZoneRound is a round of reports to daemons of the own zone.
-type ZoneRound struct {
-	Peers []netip.Addr
-	// MinInterval and MaxInterval are the minimum and maximum time until the next
-	// round.
-	MinInterval, MaxInterval time.Duration
-	// OnLoad reports whether a change of the load makes the next round due, and not
-	// only news.
-	OnLoad bool
-}
-
-// NextZoneRound returns the next round of reports to the own zone: to all of its peers
-// if they are few, otherwise to zoneBatch peers in turn, in random order. News that each
-// daemon passes on to a few random peers reaches all daemons in a number of rounds
-// that grows with the logarithm of their number.
-func (t *PeerTable) NextZoneRound() ZoneRound {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.isMesh() {
-		return ZoneRound{Peers: t.zoneRotation.next(zoneBatch, t.zonePeers), MinInterval: zoneInterval(zoneBatch), MaxInterval: heartbeatInterval}
-	}
-	minInterval := zoneInterval(t.zonePeerCount())
-	return ZoneRound{Peers: t.zonePeers(), MinInterval: minInterval, MaxInterval: max(heartbeatInterval, minInterval), OnLoad: true}
-}
-
-func (t *PeerTable) zonePeers() []netip.Addr {
-	var out []netip.Addr
-	for _, p := range t.peers {
-		if p.zone == t.ownZone {
-			out = append(out, p.addr)
-		}
-	}
-	return out
-}
-
-// NextCrossZoneBatch returns the peers of other zones that get the next report. Seeds
-// that are not known as peers yet count as such.
-func (t *PeerTable) NextCrossZoneBatch() []netip.Addr {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.crossZoneRotation.next(crossZoneBatchOf(1+t.zonePeerCount()), t.otherZonePeers)
-}
-
-// otherZonePeers returns the peers of other zones and the seeds that are not known as
-// peers yet.
-func (t *PeerTable) otherZonePeers() []netip.Addr {
-	var out []netip.Addr
-	for _, p := range t.peers {
-		if p.zone != t.ownZone {
-			out = append(out, p.addr)
-		}
-	}
-	for _, s := range t.seeds {
-		if s != t.self && t.peers[s] == nil {
-			out = append(out, s)
-		}
-	}
-	return out
-}
