Let a watcher show at once that it watches, register before the first tables

Cause, from the log of the large site: - A daemon tells its peers that it watches the store once its first watch has been answered, which takes seconds while nothing changes.

Change: the first watch of a daemon that takes over is held for 20 ms. A daemon registers when it has read the store, also without a configuration.

Both tests fail without the change.

--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -30,6 +30,9 @@
 	// is available again.
 	initialRetryDelay = 50 * time.Millisecond
 	maxRetryDelay     = 800 * time.Millisecond
+	// firstWatchWait is how long the store may hold the first watch of a daemon that takes
+	// the watch over. Its answer shows that the watch works.
+	firstWatchWait = 20 * time.Millisecond
 	// expireInterval is the interval at which missing servers are checked for expiry.
 	expireInterval = 250 * time.Millisecond
 	// roleCheckInterval is the interval at which a daemon that does not watch the
@@ -252,11 +255,14 @@
 
 // watch makes one watch call and merges the changes.
 func (f *Follower) watch(ctx context.Context) error {
-	after := f.Revision()
-	watchCtx, cancel := context.WithTimeout(ctx, f.watchTimes.Wait+f.watchTimes.Slack)
+	after, hold := f.Revision(), f.watchTimes.Wait
+	if !f.Watching() {
+		hold = firstWatchWait
+	}
+	watchCtx, cancel := context.WithTimeout(ctx, hold+f.watchTimes.Slack)
 	defer cancel()
 	f.metrics.Count(metrics.StoreCalls, 1)
-	reading, err := f.source.Watch(watchCtx, after, f.watchTimes.Wait)
+	reading, err := f.source.Watch(watchCtx, after, hold)
 	if err != nil {
 		return err
 	}
--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -31,12 +32,11 @@
 	silent bool
 	// compacted is the revision up to which the history is lost.
 	compacted    uint64
-	puts         map[string][]byte
 	leaseExpired bool
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{changed: make(chan struct{}), puts: map[string][]byte{}}
+	return &fakeStore{changed: make(chan struct{})}
 }
 
 func (s *fakeStore) put(key, value string) {
@@ -245,6 +245,24 @@
 	})
 }
 
+// Guards against a watcher that the other daemons cannot know of until its first watch has
+// ended, which takes seconds while nothing changes. After a restart of all, each of them
+// would watch too.
+func TestFollowerSoonKnowsThatItsWatchWorks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		s.put("config", "1")
+		f, stop := startFollower(t, s, fixedRole(true))
+		defer stop()
+		time.Sleep(2 * firstWatchWait)
+		is.True(f.Watching())
+		is.Equal(s.calls(), 3) // the listing, the first watch, and the one that is pending
+		time.Sleep(time.Second)
+		is.Equal(s.calls(), 0)
+	})
+}
+
 // Guards against a directory that is still outdated when the recovery time after a
 // failure has passed. In the failure, the store does not answer, is down or refuses
 // calls, and it drops the history meanwhile.
@@ -394,6 +412,31 @@
 	})
 }
 
+// Guards against a fleet in which no daemon knows another one until there is a
+// configuration, so that each has to get the first one from the store.
+func TestDaemonRegistersBeforeTheFirstConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		s.put("s1", "") // no configuration
+		f, stop := startFollower(t, s, fixedRole(false))
+		defer stop()
+		addr := netip.MustParseAddr("10.0.0.1")
+		r := &Registration{
+			VM: directory.VM{Name: "vm1", Zone: "a", Addr: addr}, Source: s, Follower: f,
+			Log: events.Discard(), Metrics: metrics.NewRegistry(),
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		go r.Run(ctx)
+		time.Sleep(2 * directoryPollInterval)
+		stored, err := s.List(ctx)
+		is.NoErr(err)
+		is.True(slices.ContainsFunc(stored.Items, func(i Item) bool { return i.Key == vmKey(addr) }))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against malformed registrations that are taken for a VM or go unreported,
 // and against other items that are taken for registrations.
 func TestDecodeVM(t *testing.T) {
--- a/internal/registry/register.go
+++ b/internal/registry/register.go
@@ -29,7 +29,7 @@
 	// not depend on the registration.
 	registerRetryDelay = 3 * time.Second
 	// directoryPollInterval is the interval at which a starting daemon checks
-	// whether it has a directory yet, which may hold an earlier registration.
+	// whether it has read the store yet, which may hold an earlier registration.
 	directoryPollInterval = 50 * time.Millisecond
 	// presenceCheckInterval is the interval at which the daemon checks that the
 	// directory still has its own registration: the store may drop the keys of a
@@ -51,7 +51,9 @@
 // not delete the registration then: most daemons are started again, and the next
 // process of the VM continues to renew it.
 func (r *Registration) Run(ctx context.Context) {
-	for r.Follower.Current() == nil {
+	// Without a configuration there is no directory yet. The daemon registers all the
+	// same, so that its peers tell it of the first one.
+	for r.Follower.Revision() == 0 {
 		if !wait.For(ctx, directoryPollInterval) {
 			return
 		}
@@ -76,7 +78,11 @@
 // previousLease returns the lease of the registration that an earlier process of
 // this VM has left.
 func (r *Registration) previousLease() (lease uint64, ok bool) {
-	vm := r.Follower.Current().VMs()[r.VM.Addr]
+	d := r.Follower.Current()
+	if d == nil {
+		return 0, false
+	}
+	vm := d.VMs()[r.VM.Addr]
 	if vm == nil || vm.Lease == 0 || vm.Name != r.VM.Name || vm.Zone != r.VM.Zone {
 		return 0, false
 	}
