--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -380,6 +380,14 @@
 	})
 }
 
+// newRegistration returns the registration of the VM vm1 in zone a.
+func newRegistration(s Source, f *Follower, addr netip.Addr) *Registration {
+	return &Registration{
+		VM: directory.VM{Name: "vm1", Zone: "a", Addr: addr}, Source: s, Follower: f,
+		Log: events.Discard(), Metrics: metrics.NewRegistry(),
+	}
+}
+
 // Guards against a daemon that its peers cannot find because the store dropped its
 // registration or its lease expired, and that does not register again.
 func TestRegistrationComesBack(t *testing.T) {
@@ -390,12 +398,8 @@
 		f, stop := startFollower(t, s, fixedRole(true))
 		defer stop()
 		addr := netip.MustParseAddr("10.0.0.1")
-		r := &Registration{
-			VM: directory.VM{Name: "vm1", Zone: "a", Addr: addr}, Source: s, Follower: f,
-			Log: events.Discard(), Metrics: metrics.NewRegistry(),
-		}
 		ctx, cancel := context.WithCancel(context.Background())
-		go r.Run(ctx)
+		go newRegistration(s, f, addr).Run(ctx)
 		time.Sleep(time.Second)
 		is.Equal(f.Current().VMs()[addr].Name, "vm1")
 
@@ -422,12 +426,8 @@
 		f, stop := startFollower(t, s, fixedRole(false))
 		defer stop()
 		addr := netip.MustParseAddr("10.0.0.1")
-		r := &Registration{
-			VM: directory.VM{Name: "vm1", Zone: "a", Addr: addr}, Source: s, Follower: f,
-			Log: events.Discard(), Metrics: metrics.NewRegistry(),
-		}
 		ctx, cancel := context.WithCancel(context.Background())
-		go r.Run(ctx)
+		go newRegistration(s, f, addr).Run(ctx)
 		time.Sleep(2 * directoryPollInterval)
 		stored, err := s.List(ctx)
 		is.NoErr(err)
