--- a/standin/soak/site_test.go
+++ b/standin/soak/site_test.go
@@ -67,3 +67,32 @@
 		is.NoErr(err)
 	}
 }
+
+// Guards against the memory of the soak counting as that of a daemon, which is forked
+// from it: with 46 daemons, the soak takes more than a daemon may.
+func TestMemoryOfTheSoakDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	const limit = 64 << 20
+	ballast := make([]byte, 2*limit)
+	for i := 0; i < len(ballast); i += 4096 {
+		ballast[i] = 1
+	}
+	s := newTestSite(t)
+	violations := func() int {
+		s.checker.mu.Lock()
+		defer s.checker.mu.Unlock()
+		return len(s.checker.violations)
+	}
+	play := func(m *machine, maxMemory int64) {
+		m.config.MaxMemory = maxMemory
+		m.config.Command = func(string) (string, []string, []string) { return "/bin/sleep", []string{"60"}, nil }
+		m.start()
+		time.Sleep(4 * memoryInterval)
+		m.kill()
+	}
+	play(s.machines[0], limit)
+	is.Equal(violations(), 0)
+	play(s.machines[1], 1) // less than any process takes
+	is.Equal(violations(), 1)
+	is.True(ballast[0] == 1)
+}
