Give the first watch the time of the others to be answered

Cause: the first watch of a daemon, which is held for 20 ms only, was also given up after that and the slack, half a second. A store whose answers take longer never answered it, and a daemon that began to watch learned of no change until the store was quick again.

Change: the hold is short, the timeout is that of every watch.

Measured: TestFollowerBeginsToWatchASlowStore (answers after 1 s) failed before and passes.

--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -259,7 +259,7 @@
 	if !f.Watching() {
 		hold = firstWatchWait
 	}
-	watchCtx, cancel := context.WithTimeout(ctx, hold+f.watchTimes.Slack)
+	watchCtx, cancel := context.WithTimeout(ctx, f.watchTimes.Wait+f.watchTimes.Slack)
 	defer cancel()
 	f.metrics.Count(metrics.StoreCalls, 1)
 	reading, err := f.source.Watch(watchCtx, after, hold)
--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -30,6 +30,8 @@
 	// watches hang until their context ends.
 	err    error
 	silent bool
+	// delay is how long each call waits before the store handles it.
+	delay time.Duration
 	// compacted is the revision up to which the history is lost.
 	compacted    uint64
 	leaseExpired bool
@@ -79,8 +81,13 @@
 func (s *fakeStore) startCall(ctx context.Context) error {
 	s.mu.Lock()
 	s.callCount++
-	err, silent := s.err, s.silent
+	err, silent, delay := s.err, s.silent, s.delay
 	s.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
+	}
 	if silent {
 		<-ctx.Done()
 		return fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
@@ -263,6 +270,24 @@
 	})
 }
 
+// Guards against a daemon that begins to watch a slow store and gives up each call before
+// the answer comes, so that it learns of no change.
+func TestFollowerBeginsToWatchASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		s.put("config", "1")
+		s.delay = time.Second
+		f, stop := startFollower(t, s, fixedRole(true))
+		defer stop()
+		time.Sleep(s.delay + 10*time.Millisecond)
+		is.Equal(version(f), uint64(1))
+		s.put("config", "2")
+		time.Sleep(maxChangeDelay)
+		is.Equal(version(f), uint64(2))
+	})
+}
+
 // Guards against a directory that is still outdated when the recovery time after a
 // failure has passed. In the failure, the store does not answer, is down or refuses
 // calls, and it drops the history meanwhile.
