--- a/standin/site/report.go
+++ b/standin/site/report.go
@@ -127,7 +127,7 @@
 	if len(s.Limited) == 0 {
 		return
 	}
-	fmt.Fprintf(b, "UDP flows whose owner crashed before its backup knew their server: %d\n", len(s.Limited))
+	fmt.Fprintf(b, "UDP flows opened within %s before the crash whose payload reached a second server: %d\n", exceptionDelay, len(s.Limited))
 	for _, v := range s.Limited[:min(len(s.Limited), maxShownPerKind)] {
 		fmt.Fprintf(b, "    flow %s: %s\n", v.Flow, v.Detail)
 	}
