Read the age of the directory once to decide about the watch

Cause: ShouldWatch asked for the own state twice under one lock, for the same moment.

Result: behaviour unchanged; the tests of package exchange pass.

--- a/internal/exchange/watching.go
+++ b/internal/exchange/watching.go
@@ -69,13 +69,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.updateBehindSince(now)
-	if _, age := t.ownState(now); age > t.maxAge+t.maxAgeExtension(now) {
+	_, age := t.ownState(now)
+	if age > t.maxAge+t.maxAgeExtension(now) {
 		return true
 	}
 	if !t.behindSince.IsZero() && now.Sub(t.behindSince) > catchUpGrace {
 		return true
 	}
-	if _, age := t.ownState(now); t.knowsOnlySeeds() && age <= t.maxAge/2+t.startJitter {
+	if t.knowsOnlySeeds() && age <= t.maxAge/2+t.startJitter {
 		return false
 	}
 	if t.isWatched(now) {
