Log the era and the revision of each listing of the store

The header Store-Era was not read.

Change: event 325 for each listing with the era, the store's revision, the daemon's own one and the number of items applied, at most ten lines a second. No decision depends on the era yet.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -12,6 +12,8 @@
 	// 300 bytes.
 	flowLinesPerSecond   = 200
 	serverLinesPerSecond = 20
+	// listingLinesPerSecond limits an event of each listing of the store.
+	listingLinesPerSecond = 10
 )
 
 // Events of the daemon's life cycle, 100 to 199.
@@ -55,6 +57,7 @@
 	ItemRefused       = Event{Number: 321, Level: warnLevel, Message: "store item refused", Action: "find the writer of the item"}
 	StoreWatchChanged = Event{Number: 322, Level: infoLevel, Message: "store watch started or stopped", Action: "none"}
 	DirectoryFromPeer = Event{Number: 324, Level: infoLevel, Message: "directory fetched from a peer at startup", Action: "none"}
+	StoreListed       = Event{Number: 325, Level: infoLevel, Message: "store listed", Action: "none", PerSecond: listingLinesPerSecond}
 
 	RegistrationFailed = Event{Number: 323, Level: warnLevel, Message: "registration in the store failed", Action: "check the platform store"}
 )
@@ -85,7 +88,7 @@
 		LinesDropped, Reloaded, ReloadRefused, Ready, BacklogDropped,
 		MemberJoined, MemberLeaving, MemberSuspected, MemberDied, SuspicionRefuted, LinkOpened, LinkLost, PeerRefused,
 		TablesApplied, TablesRegressed, TablesInvalid, TablesUnconfirmed, FetchFailed, StoreDown, StoreRecovered,
-		DirectoryApplied, ItemRefused, StoreWatchChanged, RegistrationFailed, DirectoryFromPeer,
+		DirectoryApplied, ItemRefused, StoreWatchChanged, RegistrationFailed, DirectoryFromPeer, StoreListed,
 		ServerEjected, ServerReinstated, EjectionRefused, SilentFlow, FlowTableFull, NewFlowLimited, BackupChanged,
 		FlowPlaced, FlowRefused, FlowUnanswered, ServerSuspected, ServerRecovered, ZoneUnreachable, ZoneReachable,
 	}
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -248,7 +248,10 @@
 	if err != nil {
 		return err
 	}
-	f.Merge(reading, "store")
+	before := f.Revision()
+	changed := f.Merge(reading, "store")
+	f.log.Log(events.StoreListed, zap.Uint64("era", reading.Era), zap.Uint64("revision", reading.Revision),
+		zap.Uint64("own_revision", before), zap.Int("items", len(reading.Items)), zap.Int("changed", changed))
 	f.Confirm(reading.Revision, sentAt)
 	return nil
 }
@@ -274,9 +277,9 @@
 	return nil
 }
 
-// Merge applies the changes of a reading and publishes the new directory. The
-// origin of the reading, from, is written to the log.
-func (f *Follower) Merge(r Reading, from string) {
+// Merge applies the changes of a reading, publishes the new directory and returns the
+// number of items that changed. The origin of the reading, from, is written to the log.
+func (f *Follower) Merge(r Reading, from string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
@@ -296,6 +299,7 @@
 		f.publish(from)
 	}
 	f.revision.Store(f.state.Revision())
+	return len(items)
 }
 
 // decode returns the change that an item stands for. The change of a deleted server
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -44,6 +44,9 @@
 // Reading is the result of reading the store up to Revision: all items, or the changes
 // after another revision.
 type Reading struct {
+	// Era counts the restores of the store from a backup. Each of them makes it assign
+	// revisions again that it had assigned before.
+	Era      uint64
 	Revision uint64
 	// Complete reports whether Items holds all items of the store, and possibly
 	// deleted ones. Otherwise it holds the changes since the requested revision.
