--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -33,7 +33,9 @@
 	// delay is how long each call waits before the store handles it.
 	delay time.Duration
 	// compacted is the revision up to which the history is lost.
-	compacted    uint64
+	compacted uint64
+	// era counts the restores.
+	era          uint64
 	leaseExpired bool
 }
 
@@ -55,6 +57,15 @@
 	s.wake()
 }
 
+// restore brings back the state at a revision, as from a backup.
+func (s *fakeStore) restore(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.history.events = s.history.events[:revision:revision]
+	s.wake()
+}
+
 // wake wakes pending watches. The caller holds s.mu.
 func (s *fakeStore) wake() {
 	close(s.changed)
@@ -102,10 +113,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	newest := uint64(len(s.history.events))
-	r := Reading{Revision: newest, Complete: true}
+	r := Reading{Era: s.era, Revision: newest, Complete: true}
 	for key, rev := range s.history.at(newest) {
 		i := s.history.events[rev-1]
-		r.Items = append(r.Items, Item{Key: key, Value: i.Value, Revision: rev})
+		r.Items = append(r.Items, Item{Key: key, Value: i.Value, Revision: rev, ReadAt: time.Now()})
 	}
 	return r, nil
 }
@@ -117,7 +128,7 @@
 	timeout := time.After(hold)
 	for {
 		s.mu.Lock()
-		newest, changed, compacted := uint64(len(s.history.events)), s.changed, s.compacted
+		newest, changed, compacted, era := uint64(len(s.history.events)), s.changed, s.compacted, s.era
 		events := append([]Item(nil), s.history.events[min(after, newest):]...)
 		silent := s.silent
 		s.mu.Unlock()
@@ -125,18 +136,18 @@
 		case silent:
 			<-ctx.Done()
 			return Reading{}, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
-		case after < compacted:
+		case after < compacted, after > newest:
 			return Reading{}, ErrHistoryLost
 		case len(events) > 0:
 			for i := range events {
 				events[i].ReadAt = time.Now()
 			}
-			return Reading{Revision: newest, Items: events}, nil
+			return Reading{Era: era, Revision: newest, Items: events}, nil
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return Reading{Revision: newest}, nil
+			return Reading{Era: era, Revision: newest}, nil
 		case <-ctx.Done():
 			return Reading{}, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
 		}
