--- a/internal/cookie/bench_test.go
+++ b/internal/cookie/bench_test.go
@@ -39,9 +39,9 @@
 	b := directory.NewBuilder()
 	b.Apply([]directory.Change{{Config: &directory.Config{Version: 1, Routes: []directory.Route{{
 		Name: "r", Address: service, Shares: []directory.Share{{Pool: "p", Weight: 1}}, Timeout: time.Second,
-	}}}}}, 1, epoch)
+	}}}}}, directory.Position{Revision: 1}, epoch)
 	for i := range servers {
-		b.Apply([]directory.Change{{Server: server(uint64(i+1), fmt.Sprintf("10.0.%d.%d:80", i/250, i%250))}}, 1, epoch)
+		b.Apply([]directory.Change{{Server: server(uint64(i+1), fmt.Sprintf("10.0.%d.%d:80", i/250, i%250))}}, directory.Position{Revision: 1}, epoch)
 	}
 	t := &staticDirectory{current: b.Build()}
 	return NewEngine(benchCodec{}, t, placement.New("a", 1), metrics.NewRegistry(), events.Discard()), t
--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -161,7 +161,7 @@
 	}
 	e.log.Log(events.FlowPlaced, zap.Stringer("caller", p.Caller), zap.Stringer("service", p.Service),
 		zap.String("server", server.Name), zap.Int("candidates", len(candidates)), zap.Duration("expected", ticket.ExpectedLatency()),
-		zap.Int("copy", p.Retransmits), zap.Uint64("revision", d.Revision), zap.Duration("age", e.directories.Age(now)))
+		zap.Int("copy", p.Retransmits), zap.Uint64("era", d.Position.Era), zap.Uint64("revision", d.Position.Revision), zap.Duration("age", e.directories.Age(now)))
 	if f == nil {
 		f = e.addFlow(key, now)
 	}
@@ -187,7 +187,7 @@
 func (e *Engine) logRefusal(d *directory.Directory, p Packet, reason metrics.Reason, now time.Time) {
 	e.log.Log(events.FlowRefused, zap.Stringer("caller", p.Caller), zap.Stringer("service", p.Service),
 		zap.String("reason", string(reason)), zap.Uint64("config_version", d.Config.Version),
-		zap.Uint64("revision", d.Revision), zap.Duration("age", e.directories.Age(now)))
+		zap.Uint64("era", d.Position.Era), zap.Uint64("revision", d.Position.Revision), zap.Duration("age", e.directories.Age(now)))
 }
 
 // continueFlow returns the server for a packet that does not open a flow.
--- a/internal/cookie/engine_test.go
+++ b/internal/cookie/engine_test.go
@@ -80,7 +80,7 @@
 }
 
 func (h *harness) apply(changes ...directory.Change) {
-	h.builder.Apply(changes, 0, h.now)
+	h.builder.Apply(changes, directory.Position{}, h.now)
 	h.directories.rebuild(h.builder)
 }
 
--- a/internal/directory/bench_test.go
+++ b/internal/directory/bench_test.go
@@ -18,9 +18,9 @@
 				a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i / 250), byte(i % 250)}), 443)
 				c.Routes = append(c.Routes, Route{Name: fmt.Sprint("r", i), Address: a, Shares: []Share{{"p", 1}}})
 			}
-			builder.Apply([]Change{{Config: c}}, 1, epoch)
+			builder.Apply([]Change{{Config: c}}, Position{Revision: 1}, epoch)
 			for i := range size {
-				builder.Apply([]Change{{Server: testServer(fmt.Sprint("i-", i), uint64(i+1), uint64(i+1))}}, 1, epoch)
+				builder.Apply([]Change{{Server: testServer(fmt.Sprint("i-", i), uint64(i+1), uint64(i+1))}}, Position{Revision: 1}, epoch)
 			}
 			b.ReportAllocs()
 			i := 0
@@ -28,7 +28,7 @@
 				i++
 				s := testServer("i-0", 1, 1)
 				s.Draining = i%2 == 0
-				builder.Apply([]Change{{Server: s}}, uint64(i), epoch.Add(time.Duration(i)))
+				builder.Apply([]Change{{Server: s}}, Position{Revision: uint64(i)}, epoch.Add(time.Duration(i)))
 				builder.Build()
 			}
 		})
--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -80,7 +80,7 @@
 	retention Retention
 	// firstConfigAt is when the first configuration was applied.
 	firstConfigAt time.Time
-	revision      uint64
+	position      Position
 	config        *Config
 	// routes is derived from config. All directories with the same configuration
 	// share it, since it can have thousands of entries and changes rarely.
@@ -105,16 +105,18 @@
 	}
 }
 
-// Apply applies changes in order and raises the builder's revision to the given one.
-// It returns the changes that were refused.
-func (b *Builder) Apply(changes []Change, revision uint64, now time.Time) []Refusal {
+// Apply applies changes in order and sets the builder's position, unless that is later
+// already. It returns the changes that were refused.
+func (b *Builder) Apply(changes []Change, position Position, now time.Time) []Refusal {
 	var refused []Refusal
 	for _, c := range changes {
 		if reason := b.apply(c, now); reason != "" {
 			refused = append(refused, Refusal{Revision: c.Revision, Subject: c.subject(), Reason: reason})
 		}
 	}
-	b.revision = max(b.revision, revision)
+	if position.IsAfter(b.position) {
+		b.position = position
+	}
 	b.updateExpiredPools()
 	return refused
 }
@@ -275,16 +277,13 @@
 	return changed
 }
 
-// Revision returns the store's revision up to which all changes were applied.
-func (b *Builder) Revision() uint64 { return b.revision }
-
 // Ready reports whether a configuration was applied.
 func (b *Builder) Ready() bool { return b.config != nil }
 
 // Build returns a directory of the current state.
 func (b *Builder) Build() *Directory {
 	d := &Directory{
-		Revision:  b.revision,
+		Position:  b.position,
 		Config:    b.config,
 		SettledAt: b.firstConfigAt.Add(b.retention.Missing),
 		routes:    b.routes,
--- a/internal/directory/builder_test.go
+++ b/internal/directory/builder_test.go
@@ -21,7 +21,7 @@
 // applyAndBuild applies changes, expires servers and returns the new directory.
 func applyAndBuild(t *testing.T, b *Builder, now time.Time, changes ...Change) *Directory {
 	t.Helper()
-	b.Apply(changes, 0, now)
+	b.Apply(changes, Position{}, now)
 	b.Expire(now, now)
 	return b.Build()
 }
@@ -55,14 +55,14 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			b := NewBuilder()
-			refused := b.Apply(order, 30, epoch)
+			refused := b.Apply(order, Position{Revision: 30}, epoch)
 			is.Equal(len(refused), 1)
 			is.Equal(refused[0].Reason, ReasonCollision)
 			d := b.Build()
 			is.Equal(names(d.Candidates("p")), []string{"i-1"})
 			is.Equal(d.ByCookie(3).Name, "i-1")
 
-			b.Apply([]Change{{Deleted: "i-1"}}, 31, epoch)
+			b.Apply([]Change{{Deleted: "i-1"}}, Position{Revision: 31}, epoch)
 			b.Expire(epoch.Add(DefaultRetention.Missing), epoch.Add(DefaultRetention.Missing))
 			is.Equal(names(b.Build().Candidates("p")), []string{"i-2"})
 		})
@@ -136,7 +136,7 @@
 	is := is.New(t)
 	b := NewBuilder()
 	applyAndBuild(t, b, epoch, Change{Server: testServer("i-1", 1, 1)}, Change{Server: testServer("i-2", 2, 2)})
-	refused := b.Apply([]Change{{Invalid: "i-1", Problem: errors.New("no address"), Revision: 5}}, 5, epoch)
+	refused := b.Apply([]Change{{Invalid: "i-1", Problem: errors.New("no address"), Revision: 5}}, Position{Revision: 5}, epoch)
 	is.Equal(refused, []Refusal{{Revision: 5, Subject: "i-1", Reason: "no address"}})
 	is.Equal(names(b.Build().Candidates("p")), []string{"i-2"})
 }
@@ -148,7 +148,7 @@
 	b := NewBuilder()
 	route := Route{Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:80"), Shares: []Share{{"p", 1}}}
 	applyAndBuild(t, b, epoch, Change{Config: &Config{Version: 7, Routes: []Route{route}}})
-	refused := b.Apply([]Change{{Config: &Config{Version: 6}}, {Problem: errors.New("not JSON")}}, 9, epoch)
+	refused := b.Apply([]Change{{Config: &Config{Version: 6}}, {Problem: errors.New("not JSON")}}, Position{Revision: 9}, epoch)
 	is.Equal(len(refused), 2)
 	is.Equal(refused[0].Reason, ReasonOldVersion)
 	d := b.Build()
@@ -181,13 +181,13 @@
 	is.Equal(names(b.Build().Candidates("p")), []string{"i-1", "i-2"})
 
 	back := epoch.Add(time.Minute)
-	b.Apply([]Change{{Server: testServer("i-2", 2, 9)}}, 9, back)
+	b.Apply([]Change{{Server: testServer("i-2", 2, 9)}}, Position{Revision: 9}, back)
 	is.Equal(names(b.Build().Candidates("p")), []string{"i-1", "i-2"})
 	b.Expire(back, back)
 	is.Equal(names(b.Build().Candidates("p")), []string{"i-2"})
 
 	// No server of the pool is missing any more: one that vanishes now has crashed.
-	b.Apply([]Change{{Server: testServer("i-3", 3, 10)}, {Server: testServer("i-4", 4, 11)}}, 11, back)
-	b.Apply([]Change{{Deleted: "i-3"}}, 12, back)
+	b.Apply([]Change{{Server: testServer("i-3", 3, 10)}, {Server: testServer("i-4", 4, 11)}}, Position{Revision: 11}, back)
+	b.Apply([]Change{{Deleted: "i-3"}}, Position{Revision: 12}, back)
 	is.Equal(names(b.Build().Candidates("p")), []string{"i-2", "i-4"})
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -106,8 +106,8 @@
 
 // Directory is an immutable snapshot of the routes, servers and daemons.
 type Directory struct {
-	// Revision is the store's revision up to which all changes are included.
-	Revision uint64
+	// Position is the store's position up to which all changes are included.
+	Position Position
 	Config   *Config
 	// SettledAt is the time from which on all live servers are known. Before it, the
 	// registration of a live server may be absent because it expired with the store
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -94,7 +94,9 @@
 	d.engine = cookie.NewEngine(o.Codec, d.follower, d.placer, o.Metrics, o.Log)
 	d.table = exchange.NewPeerTable(exchange.PeerTableOptions{
 		Self: o.Settings.Peer.Addr(), Zone: o.Settings.Zone, Seeds: addrs(o.Settings.Seeds), MaxAge: watch.MaxAge(),
-		OwnState: func(now time.Time) (uint64, time.Duration) { return d.follower.Revision(), d.follower.Age(now) },
+		OwnState: func(now time.Time) (directory.Position, time.Duration) {
+			return d.follower.Position(), d.follower.Age(now)
+		},
 	})
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -226,7 +228,8 @@
 			return
 		}
 	}
-	d.options.Log.Log(events.Ready, zap.Uint64("revision", d.follower.Revision()))
+	position := d.follower.Position()
+	d.options.Log.Log(events.Ready, zap.Uint64("era", position.Era), zap.Uint64("revision", position.Revision))
 	now := time.Now()
 	queued := backlog{pauses: d.pauses, handledPauseEnd: d.pauses.tick(now)}
 	if took := now.Sub(start); took > staleAfter {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -116,7 +116,7 @@
 	f := e.options.Follower
 	return encodeReport(Report{
 		VM: e.options.VM, Zone: e.options.Zone, Start: e.start, Sequence: e.sequence.Add(1),
-		Revision: f.Revision(), Age: min(maxAge, f.Age(now)), Watching: f.Watching(), Leaving: e.leaving.Load(),
+		Position: f.Position(), Age: min(maxAge, f.Age(now)), Watching: f.Watching(), Leaving: e.leaving.Load(),
 		Load: e.options.Placer.Load(now), Watchers: e.options.Table.Watchers(now),
 		Zones: e.options.Table.HeardZones(now),
 	})
@@ -191,7 +191,7 @@
 }
 
 // handleReport applies a report to the peer table, the server load and the age of
-// the directory. It requests a fetch if the peer has a higher revision.
+// the directory. It requests a fetch if the peer is at a later position.
 func (e *Exchange) handleReport(from netip.Addr, b []byte, now time.Time) {
 	if !e.options.Table.Allowed(from) {
 		e.refuse(from, errors.New("address is not registered"))
@@ -206,8 +206,8 @@
 		return
 	}
 	e.options.Placer.SetPeerLoad(from.String(), r.Load, now)
-	e.options.Follower.Confirm(r.Revision, now.Add(-r.Age))
-	if r.Revision > e.options.Follower.Revision() {
+	e.options.Follower.Confirm(r.Position, now.Add(-r.Age))
+	if r.Position.IsAfter(e.options.Follower.Position()) {
 		signal(e.fetchDue)
 	}
 }
--- a/internal/exchange/fetch.go
+++ b/internal/exchange/fetch.go
@@ -18,6 +18,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/events"
 	"knapweedshore.example/internal/metrics"
 	"knapweedshore.example/internal/wait"
@@ -40,7 +41,7 @@
 	prefetchTimeout     = 50 * time.Millisecond
 	// roundPause is the mean pause between two rounds of a fetch, and peersPerRound
 	// the number of peers asked in a round. maxRounds limits the rounds of one fetch,
-	// so that a peer which reports a revision it does not have is not asked forever.
+	// so that a peer which reports a position it does not have is not asked forever.
 	roundPause    = 30 * time.Millisecond
 	peersPerRound = 3
 	maxRounds     = 20
@@ -82,7 +83,7 @@
 	}
 }
 
-// catchUp asks peers that have a higher revision until the directory is as new as
+// catchUp asks peers that are at a later position until the directory is as new as
 // theirs, for at most maxRounds rounds. Peers that have caught up become candidates
 // too, so that large items spread from daemon to daemon instead of all coming from
 // one.
@@ -137,8 +138,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	have := e.options.Follower.Position()
 	response, err := peerapi.NewDRPCDirectoryClient(conn).FetchItems(ctx, &peerapi.FetchItemsRequest{
-		HaveRevision: e.options.Follower.Revision(),
+		HaveEra: have.Era, HaveRevision: have.Revision,
 	})
 	if err != nil {
 		return errors.Wrap(err, "fetch items")
@@ -159,7 +161,7 @@
 	}), nil
 }
 
-// applyResponse merges the items of a response and confirms its revision.
+// applyResponse merges the items of a response and confirms its position.
 func (e *Exchange) applyResponse(response *peerapi.FetchItemsResponse, from netip.Addr) error {
 	now := time.Now()
 	reading, err := decodeReading(response, now)
@@ -167,7 +169,7 @@
 		return err
 	}
 	e.options.Follower.Merge(reading, from.String())
-	e.options.Follower.Confirm(response.Revision, now.Add(-milliseconds(response.ReadingAgeMs)))
+	e.options.Follower.Confirm(reading.Position, now.Add(-milliseconds(response.ReadingAgeMs)))
 	return nil
 }
 
@@ -241,7 +243,7 @@
 func (s directoryServer) FetchItems(_ context.Context, r *peerapi.FetchItemsRequest) (*peerapi.FetchItemsResponse, error) {
 	now := time.Now()
 	e := s.exchange
-	reading := e.options.Follower.ChangesSince(r.HaveRevision)
+	reading := e.options.Follower.ChangesSince(directory.Position{Era: r.HaveEra, Revision: r.HaveRevision})
 	response, err := encodeReading(reading, e.options.Follower.Age(now), now, e.packer)
 	if err != nil {
 		return nil, err
--- a/internal/exchange/freshness_test.go
+++ b/internal/exchange/freshness_test.go
@@ -25,6 +25,7 @@
 // sharedStore is the store of a model. All daemons read the same history.
 type sharedStore struct {
 	mu      sync.Mutex
+	era     uint64
 	items   []registry.Item // by revision, from 1
 	changed chan struct{}
 }
@@ -39,12 +40,27 @@
 	return revision
 }
 
-// since returns the items after a revision, the newest revision, and a channel that is
-// closed by the next put.
-func (s *sharedStore) since(after uint64) ([]registry.Item, uint64, chan struct{}) {
+// restore brings back the state before the last changes.
+func (s *sharedStore) restore(lost int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.items[after:]), uint64(len(s.items)), s.changed
+	s.era++
+	s.items = slices.Clone(s.items[:max(1, len(s.items)-lost)])
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// since returns the changes after a revision, and a channel that is closed by the next
+// change or restore.
+func (s *sharedStore) since(after uint64) (registry.Reading, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after > uint64(len(s.items)) {
+		return registry.Reading{}, nil, registry.ErrHistoryLost
+	}
+	return registry.Reading{
+		Position: directory.Position{Era: s.era, Revision: uint64(len(s.items))}, Items: slices.Clone(s.items[after:]),
+	}, s.changed, nil
 }
 
 // How the store treats the calls of one daemon.
@@ -84,14 +100,14 @@
 	timeout := time.After(hold)
 	state, broken := l.current()
 	for state == served {
-		items, newest, changed := l.store.since(after)
-		if len(items) > 0 {
-			return registry.Reading{Revision: newest, Items: items}, nil
+		reading, changed, err := l.store.since(after)
+		if len(reading.Items) > 0 || err != nil {
+			return reading, err
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return registry.Reading{Revision: newest}, nil
+			return reading, nil
 		case <-broken:
 			state = silent
 		case <-ctx.Done():
@@ -112,8 +128,9 @@
 	case refused:
 		return registry.Reading{}, registry.ErrUnavailable
 	}
-	items, newest, _ := l.store.since(0)
-	return registry.Reading{Revision: newest, Complete: true, Items: items}, nil
+	reading, _, err := l.store.since(0)
+	reading.Complete = true
+	return reading, err
 }
 
 func (l *storeLink) CreateLease(context.Context, time.Duration) (uint64, error) { return 1, nil }
@@ -140,8 +157,8 @@
 	table    *PeerTable
 	sequence uint64
 	dead     bool
-	version  uint64 // of the configuration at the last check
-	revision uint64 // of the directory at the last check
+	version  uint64             // of the configuration at the last check
+	position directory.Position // of the directory at the last check
 	// servedSince is the time since which the store has served the daemon, zero while
 	// it does not.
 	servedSince time.Time
@@ -185,12 +202,14 @@
 			})
 			d.table = NewPeerTable(PeerTableOptions{
 				Self: d.addr, Zone: zoneName(zone), MaxAge: watch.MaxAge(),
-				OwnState: func(now time.Time) (uint64, time.Duration) { return d.follower.Revision(), d.follower.Age(now) },
+				OwnState: func(now time.Time) (directory.Position, time.Duration) {
+					return d.follower.Position(), d.follower.Age(now)
+				},
 			})
 			d.servedSince = time.Now().Add(-recoveryTime)
 			m.daemons = append(m.daemons, d)
 			m.byAddr[d.addr] = d
-			b.Apply([]directory.Change{{VM: &directory.VM{Name: d.addr.String(), Zone: zoneName(zone), Addr: d.addr}}}, 1, time.Now())
+			b.Apply([]directory.Change{{VM: &directory.VM{Name: d.addr.String(), Zone: zoneName(zone), Addr: d.addr}}}, directory.Position{Revision: 1}, time.Now())
 		}
 	}
 	known := b.Build()
@@ -231,14 +250,14 @@
 		}
 		d.sequence++
 		report := Report{
-			VM: d.addr.String(), Zone: zoneName(d.zone), Start: 1, Sequence: d.sequence, Revision: d.follower.Revision(),
+			VM: d.addr.String(), Zone: zoneName(d.zone), Start: 1, Sequence: d.sequence, Position: d.follower.Position(),
 			Age: min(maxAge, d.follower.Age(now)), Watching: d.follower.Watching(), Watchers: d.table.Watchers(now), Zones: d.table.HeardZones(now),
 		}
 		peers := slices.Clone(d.table.NextZoneRound().Peers)
 		peers = append(peers, d.table.NextCrossZoneBatch()...)
 		for _, a := range peers {
 			if to := m.byAddr[a]; m.reaches(d, to) && to.table.RecordReport(d.addr, report, now) {
-				to.follower.Confirm(report.Revision, now.Add(-report.Age))
+				to.follower.Confirm(report.Position, now.Add(-report.Age))
 			}
 		}
 	}
@@ -250,7 +269,7 @@
 			if from := m.byAddr[a]; m.reaches(d, from) {
 				transferTime := maxTransferTime / time.Duration(1+m.transfers%3)
 				m.transfers++
-				m.responses = append(m.responses, response{d, from.follower.ChangesSince(d.follower.Revision()), now.Add(transferTime)})
+				m.responses = append(m.responses, response{d, from.follower.ChangesSince(d.follower.Position()), now.Add(transferTime)})
 			}
 		}
 	}
@@ -274,13 +293,13 @@
 		connected := !d.servedSince.IsZero() && now.Sub(d.servedSince) >= recoveryTime
 		switch {
 		case m.violation != "" || d.dead:
-		case version < d.version || d.follower.Revision() < d.revision:
-			m.violation = fmt.Sprintf("%s went back from version %d, revision %d to version %d, revision %d",
-				d.addr, d.version, d.revision, version, d.follower.Revision())
+		case version < d.version || d.position.IsAfter(d.follower.Position()):
+			m.violation = fmt.Sprintf("%s went back from version %d, position %s to version %d, position %s",
+				d.addr, d.version, d.position, version, d.follower.Position())
 		case connected && version < requiredVersion:
 			m.violation = fmt.Sprintf("%s uses version %d for more than %s after version %d was written", d.addr, version, m.maxChangeDelay, requiredVersion)
 		}
-		d.version, d.revision = version, d.follower.Revision()
+		d.version, d.position = version, d.follower.Position()
 	}
 }
 
@@ -295,6 +314,9 @@
 	// Dead is the number of daemons that die, from the first one on. IsolatedZone is the
 	// index of the zone that is cut off, -1 for none.
 	Dead, IsolatedZone int
+	// Lost is the number of changes that the store loses, because it is restored from a
+	// backup, zero if it is not. The operator writes the newest configuration again.
+	Lost int
 	// Writes holds the pause before each change of the configuration.
 	Writes []time.Duration
 }
@@ -342,6 +364,10 @@
 			}
 		}
 		m.isolatedZone = f.IsolatedZone
+		if f.Lost > 0 {
+			store.restore(f.Lost)
+			store.put("config", fmt.Sprint(len(m.writtenAt)))
+		}
 		for _, pause := range f.Writes {
 			advance(pause)
 			write()
@@ -392,6 +418,7 @@
 		Affected:     rapid.UintRange(0, 1<<affectedBits-1).Draw(rt, "affected daemons"),
 		Dead:         rapid.IntRange(0, 3).Draw(rt, "dead daemons"),
 		IsolatedZone: rapid.IntRange(-1, 3).Draw(rt, "isolated zone"),
+		Lost:         rapid.IntRange(0, 4).Draw(rt, "changes lost by a restore"),
 		Writes: rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) time.Duration {
 			return time.Duration(rapid.IntRange(0, 20).Draw(rt, "pause")) * 100 * time.Millisecond
 		}), 1, 3).Draw(rt, "writes"),
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -27,7 +27,7 @@
 // encodeReport encodes a report within its limits.
 func encodeReport(r Report) ([]byte, error) {
 	m := &peerapi.Report{
-		Vm: r.VM, Zone: r.Zone, Start: r.Start, Sequence: r.Sequence, Revision: r.Revision,
+		Vm: r.VM, Zone: r.Zone, Start: r.Start, Sequence: r.Sequence, Era: r.Position.Era, Revision: r.Position.Revision,
 		AgeMs: uint64(r.Age.Milliseconds()), Watching: r.Watching, Leaving: r.Leaving,
 	}
 	for c, n := range r.Load.InProgress {
@@ -72,8 +72,9 @@
 		return Report{}, errors.New("VM, zone or start time is missing in the report")
 	}
 	r := Report{
-		VM: m.Vm, Zone: m.Zone, Start: m.Start, Sequence: m.Sequence, Revision: m.Revision,
-		Age: milliseconds(m.AgeMs), Watching: m.Watching, Leaving: m.Leaving,
+		VM: m.Vm, Zone: m.Zone, Start: m.Start, Sequence: m.Sequence,
+		Position: directory.Position{Era: m.Era, Revision: m.Revision},
+		Age:      milliseconds(m.AgeMs), Watching: m.Watching, Leaving: m.Leaving,
 		Load:     placement.Load{InProgress: make(map[directory.Cookie]int, len(m.Working))},
 		Watchers: make(map[netip.Addr]time.Duration, len(m.Watchers)),
 		Zones:    make(map[ZoneID]time.Duration, len(m.HeardZones)),
@@ -109,7 +110,7 @@
 // large values with p.
 func encodeReading(r registry.Reading, age time.Duration, now time.Time, p *packer) (*peerapi.FetchItemsResponse, error) {
 	m := &peerapi.FetchItemsResponse{
-		Revision: r.Revision, Complete: r.Complete, ReadingAgeMs: uint64(min(maxAge, age).Milliseconds()),
+		Era: r.Era, Revision: r.Revision, Complete: r.Complete, ReadingAgeMs: uint64(min(maxAge, age).Milliseconds()),
 	}
 	for _, i := range r.Items {
 		value, packed, err := p.pack(i)
@@ -126,7 +127,7 @@
 
 // decodeReading decodes a response that arrived now.
 func decodeReading(m *peerapi.FetchItemsResponse, now time.Time) (registry.Reading, error) {
-	r := registry.Reading{Revision: m.Revision, Complete: m.Complete}
+	r := registry.Reading{Position: directory.Position{Era: m.Era, Revision: m.Revision}, Complete: m.Complete}
 	for _, i := range m.Items {
 		value := i.Value
 		if i.Packed {
--- a/internal/exchange/packer.go
+++ b/internal/exchange/packer.go
@@ -26,10 +26,10 @@
 	packed map[string]packedValue // by key
 }
 
-// packedValue is the compressed value of a key at a revision.
+// packedValue is a value and its compressed form. The revision does not identify the
+// value: a restored store assigns revisions again.
 type packedValue struct {
-	revision uint64
-	value    []byte
+	value, packed []byte
 }
 
 func newPacker() *packer { return &packer{packed: map[string]packedValue{}} }
@@ -42,8 +42,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if cached, ok := p.packed[i.Key]; ok && cached.revision == i.Revision {
-		return cached.value, true, nil
+	if cached, ok := p.packed[i.Key]; ok && bytes.Equal(cached.value, i.Value) {
+		return cached.packed, true, nil
 	}
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.BestSpeed)
@@ -56,7 +56,7 @@
 	if err := w.Close(); err != nil {
 		return nil, false, errors.Wrapf(err, "compress item %q", i.Key)
 	}
-	p.packed[i.Key] = packedValue{revision: i.Revision, value: b.Bytes()}
+	p.packed[i.Key] = packedValue{value: i.Value, packed: b.Bytes()}
 	return b.Bytes(), true, nil
 }
 
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -75,9 +75,9 @@
 	// Start is the start time of the process in Unix nanoseconds, and Sequence the
 	// number of the report in that process.
 	Start, Sequence uint64
-	// Revision is the revision of the sender's directory, Age the time since that was
+	// Position is the position of the sender's directory, Age the time since that was
 	// confirmed to be the newest one.
-	Revision uint64
+	Position directory.Position
 	Age      time.Duration
 	// Watching reports whether the sender watches the store, Leaving whether it is
 	// about to stop.
@@ -120,17 +120,17 @@
 	// maxAge is the age of the directory above which a daemon watches the store
 	// itself.
 	maxAge time.Duration
-	// ownState returns the revision and the age of this daemon's directory.
-	ownState func(now time.Time) (revision uint64, age time.Duration)
+	// ownState returns the position and the age of this daemon's directory.
+	ownState func(now time.Time) (position directory.Position, age time.Duration)
 
 	mu    sync.Mutex
 	seeds []netip.Addr
 	peers map[netip.Addr]*peer
 	zones map[string]*zoneState
-	// behindSince is the time since which some peer has had a higher revision, zero if
-	// none has. newestRevision is the highest revision reported by a peer.
+	// behindSince is the time since which some peer has been at a later position, zero if
+	// none has. newestPosition is the latest position reported by a peer.
 	behindSince    time.Time
-	newestRevision uint64
+	newestPosition directory.Position
 	// startJitter spreads the first watches of daemons that know only seeds.
 	startJitter time.Duration
 	// unwatchedSince is the time since which no daemon with precedence has watched the
@@ -162,8 +162,8 @@
 	// MaxAge is the age of the directory above which this daemon watches the store
 	// itself.
 	MaxAge time.Duration
-	// OwnState returns the revision and the age of this daemon's directory.
-	OwnState func(now time.Time) (revision uint64, age time.Duration)
+	// OwnState returns the position and the age of this daemon's directory.
+	OwnState func(now time.Time) (position directory.Position, age time.Duration)
 }
 
 // NewPeerTable returns a PeerTable without peers other than the seeds.
@@ -267,8 +267,8 @@
 		t.recordWatchers(p, r, now)
 		t.recordZones(r, now)
 	}
-	if r.Revision > t.newestRevision {
-		t.newestRevision = r.Revision
+	if r.Position.IsAfter(t.newestPosition) {
+		t.newestPosition = r.Position
 	}
 	t.updateBehindSince(now)
 	return true
@@ -285,11 +285,11 @@
 	return r.Start < p.lastReport.Start && now.Sub(p.lastSeen) < minSilence
 }
 
-// updateBehindSince updates behindSince from the revision of the own directory.
+// updateBehindSince updates behindSince from the position of the own directory.
 func (t *PeerTable) updateBehindSince(now time.Time) {
-	revision, _ := t.ownState(now)
+	own, _ := t.ownState(now)
 	switch {
-	case revision >= t.newestRevision:
+	case !t.newestPosition.IsAfter(own):
 		t.behindSince = time.Time{}
 	case t.behindSince.IsZero():
 		t.behindSince = now
@@ -306,24 +306,24 @@
 
 func (t *PeerTable) otherZonePeerCount() int { return len(t.peers) - t.zonePeerCount() }
 
-// FetchCandidates returns the live peers that have a higher revision than this daemon,
+// FetchCandidates returns the live peers that are at a later position than this daemon,
 // those of the own zone first. If this daemon has no directory, it returns all peers
 // and seeds, since any of them may have one.
 func (t *PeerTable) FetchCandidates(now time.Time) []netip.Addr {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	revision, _ := t.ownState(now)
+	own, _ := t.ownState(now)
 	var sameZone, others []netip.Addr
 	for _, p := range t.peers {
 		switch {
-		case revision > 0 && (p.lastReport.Revision <= revision || now.Sub(p.lastSeen) > t.maxSilence(p.zone)):
+		case !own.IsZero() && (!p.lastReport.Position.IsAfter(own) || now.Sub(p.lastSeen) > t.maxSilence(p.zone)):
 		case p.zone == t.ownZone:
 			sameZone = append(sameZone, p.addr)
 		default:
 			others = append(others, p.addr)
 		}
 	}
-	if revision == 0 {
+	if own.IsZero() {
 		for _, s := range t.seeds {
 			if s != t.self && t.peers[s] == nil {
 				others = append(others, s)
--- a/internal/exchange/table_test.go
+++ b/internal/exchange/table_test.go
@@ -45,7 +45,7 @@
 func (m *member) report(now time.Time) Report {
 	m.sequence++
 	return Report{
-		VM: m.addr.String(), Zone: zoneName(m.zone), Start: 1, Sequence: m.sequence, Revision: m.revision, Age: m.age,
+		VM: m.addr.String(), Zone: zoneName(m.zone), Start: 1, Sequence: m.sequence, Position: directory.Position{Revision: m.revision}, Age: m.age,
 		Watching: m.table.ShouldWatch(now) && !m.refused, Watchers: m.table.Watchers(now),
 		Zones: m.table.HeardZones(now),
 	}
@@ -61,10 +61,12 @@
 			m := &member{addr: addr(zone, i+1), zone: zone, revision: 1}
 			m.table = NewPeerTable(PeerTableOptions{
 				Self: m.addr, Zone: zoneName(zone), MaxAge: maxDirectoryAge,
-				OwnState: func(time.Time) (uint64, time.Duration) { return m.revision, m.age },
+				OwnState: func(time.Time) (directory.Position, time.Duration) {
+					return directory.Position{Revision: m.revision}, m.age
+				},
 			})
 			members = append(members, m)
-			b.Apply([]directory.Change{{VM: &directory.VM{Name: m.addr.String(), Zone: zoneName(zone), Addr: m.addr}}}, 1, epoch)
+			b.Apply([]directory.Change{{VM: &directory.VM{Name: m.addr.String(), Zone: zoneName(zone), Addr: m.addr}}}, directory.Position{Revision: 1}, epoch)
 		}
 	}
 	d := b.Build()
@@ -192,7 +194,7 @@
 	newTable := func(self netip.Addr, seeds ...netip.Addr) *PeerTable {
 		return NewPeerTable(PeerTableOptions{
 			Self: self, Zone: zoneName(0), Seeds: seeds, MaxAge: maxDirectoryAge,
-			OwnState: func(time.Time) (uint64, time.Duration) { return 1, age },
+			OwnState: func(time.Time) (directory.Position, time.Duration) { return directory.Position{Revision: 1}, age },
 		})
 	}
 	seed := addr(0, 1)
@@ -246,7 +248,7 @@
 	self, later := members[0].table, epoch.Add(2*peerRetention)
 	is.True(self.ZoneSilent(zoneName(1), later))
 	b := directory.NewBuilder()
-	b.Apply([]directory.Change{{VM: &directory.VM{Name: "a", Zone: zoneName(0), Addr: addr(0, 2)}}}, 1, epoch)
+	b.Apply([]directory.Change{{VM: &directory.VM{Name: "a", Zone: zoneName(0), Addr: addr(0, 2)}}}, directory.Position{Revision: 1}, epoch)
 	self.Apply(b.Build(), later)
 	is.True(!self.ZoneSilent(zoneName(1), later))
 }
@@ -299,7 +301,7 @@
 	seed := addr(1, 1)
 	table := NewPeerTable(PeerTableOptions{
 		Self: addr(0, 1), Zone: zoneName(0), Seeds: []netip.Addr{addr(0, 1), seed}, MaxAge: maxDirectoryAge,
-		OwnState: func(time.Time) (uint64, time.Duration) { return 0, time.Hour },
+		OwnState: func(time.Time) (directory.Position, time.Duration) { return directory.Position{}, time.Hour },
 	})
 	is.True(table.Allowed(seed))
 	is.True(!table.Allowed(addr(3, 3)))
@@ -351,7 +353,7 @@
 			for _, a := range append(slices.Clone(m.table.NextZoneRound().Peers), m.table.NextCrossZoneBatch()...) {
 				if to := byAddr[a]; !to.dead && random.Float64() >= loss {
 					to.table.RecordReport(m.addr, report, at)
-					to.revision = max(to.revision, report.Revision)
+					to.revision = max(to.revision, report.Position.Revision)
 				}
 			}
 		}
@@ -473,7 +475,7 @@
 // against fields that are lost in the encoding.
 func TestReportsFitIntoOnePacket(t *testing.T) {
 	is := is.New(t)
-	r := Report{VM: "front-cartago-norte-10", Zone: "cartago-norte", Start: 1 << 60, Sequence: 1 << 40, Revision: 1 << 40,
+	r := Report{VM: "front-cartago-norte-10", Zone: "cartago-norte", Start: 1 << 60, Sequence: 1 << 40, Position: directory.Position{Era: 1 << 40, Revision: 1 << 40},
 		Age: time.Hour, Watching: true, Load: placement.Load{InProgress: map[directory.Cookie]int{}}, Watchers: map[netip.Addr]time.Duration{}, Zones: map[ZoneID]time.Duration{}}
 	for i := range maxReportedZones {
 		r.Zones[ZoneID(1<<31+i)] = time.Hour
@@ -497,14 +499,14 @@
 }
 
 // Guards against large values that are sent uncompressed, compressed again for each
-// peer, or changed by the compression.
+// peer, changed by the compression, or those of another change with the same revision.
 func TestLargeValuesArePackedOnce(t *testing.T) {
 	is := is.New(t)
 	p := newPacker()
 	value := []byte(strings.Repeat(`{"name":"r-1","host":"198.18.0.1","prefix":"/8443/"},`, 4000))
 	item := registry.Item{Key: "config", Value: value, Revision: 7, ReadAt: epoch}
 	small := registry.Item{Key: "s", Value: []byte("small"), Revision: 8, ReadAt: epoch}
-	reading := registry.Reading{Revision: 8, Items: []registry.Item{item, small}}
+	reading := registry.Reading{Position: directory.Position{Revision: 8}, Items: []registry.Item{item, small}}
 	m, err := encodeReading(reading, time.Second, epoch, p)
 	is.NoErr(err)
 	is.True(len(m.Items[0].Value) < len(value)/10)
@@ -522,6 +524,13 @@
 	got, err = decodeReading(m, epoch)
 	is.NoErr(err)
 	is.Equal(got.Items[0].Value, reading.Items[0].Value)
+
+	reading.Items[0].Value = value // a restored store assigns revision 9 again
+	m, err = encodeReading(reading, time.Second, epoch, p)
+	is.NoErr(err)
+	got, err = decodeReading(m, epoch)
+	is.NoErr(err)
+	is.Equal(got.Items[0].Value, value)
 }
 
 // Guards against a compressed value that exhausts the memory, and against a corrupt one
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -300,7 +300,7 @@
 	b := directory.NewBuilder()
 	addState := func(at time.Duration, changes ...directory.Change) {
 		now := epoch.Add(at)
-		b.Apply(changes, 0, now)
+		b.Apply(changes, directory.Position{}, now)
 		b.Expire(now, now)
 		states = append(states, state{now, b.Build().Candidates("")})
 	}
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -58,10 +58,10 @@
 	watchTimes WatchTimes
 	prefetch   func(ctx context.Context) bool
 
-	// current and revision are read without mu, because the onChange functions run
+	// current and position are read without mu, because the onChange functions run
 	// while it is held and take locks of their own.
 	current  atomic.Pointer[directory.Directory]
-	revision atomic.Uint64
+	position atomic.Pointer[directory.Position]
 	// watching is true from the first answer to a watch until a call fails or the
 	// daemon stops watching.
 	watching atomic.Bool
@@ -123,10 +123,12 @@
 	if o.Keep == (directory.Retention{}) {
 		o.Keep = directory.DefaultRetention
 	}
-	return &Follower{
+	f := &Follower{
 		start: time.Now(), watchTimes: o.Watch, prefetch: o.Prefetch, source: o.Source, decoder: o.Decoder, log: o.Log, metrics: o.Metrics,
 		state: NewState(), builder: directory.NewBuilderWith(o.Keep),
 	}
+	f.position.Store(&directory.Position{})
+	return f
 }
 
 // Current returns the newest directory, or nil before the first configuration
@@ -147,10 +149,11 @@
 	return max(0, now.Sub(f.start)-time.Duration(at))
 }
 
-// Confirm records that revision was the newest one of the store at a time. It has
-// no effect while this daemon is behind that revision.
-func (f *Follower) Confirm(revision uint64, at time.Time) {
-	if f.Revision() < revision {
+// Confirm records that p was the newest position of the store at a time. It has no effect
+// while this daemon is behind p, or if p belongs to an earlier era: who confirms it may
+// not have noticed that the store was restored.
+func (f *Follower) Confirm(p directory.Position, at time.Time) {
+	if own := f.Position(); p.Era != own.Era || p.IsAfter(own) {
 		return
 	}
 	next := int64(at.Sub(f.start))
@@ -162,12 +165,12 @@
 	}
 }
 
-// Revision returns the revision up to which all changes are known.
-func (f *Follower) Revision() uint64 { return f.revision.Load() }
+// Position returns the position of the store up to which all changes are known.
+func (f *Follower) Position() directory.Position { return *f.position.Load() }
 
-// ChangesSince returns what a peer with revision have lacks: changes or a complete
-// reading. The reading has revision 0 before anything was read.
-func (f *Follower) ChangesSince(have uint64) Reading {
+// ChangesSince returns what a peer at position have lacks: changes or a complete
+// reading. The reading has position zero before anything was read.
+func (f *Follower) ChangesSince(have directory.Position) Reading {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.state.ChangesSince(have)
@@ -184,12 +187,12 @@
 	defer tasks.Wait()
 	tasks.Go(func() { f.expire(ctx) })
 	if f.prefetch(ctx) {
-		f.log.Log(events.DirectoryFromPeer, zap.Uint64("revision", f.Revision()))
+		f.log.Log(events.DirectoryFromPeer, positionFields(f.Position())...)
 	}
 	relist := false
 	failures := 0
 	for ctx.Err() == nil {
-		listed := f.Revision() > 0 && !relist
+		listed := !f.Position().IsZero() && !relist
 		if listed && !role.ShouldWatch(time.Now()) {
 			f.setWatching(false)
 			failures = 0
@@ -248,42 +251,53 @@
 	if err != nil {
 		return err
 	}
-	before := f.Revision()
+	before := f.Position()
+	if reading.Era < before.Era {
+		return errors.Wrapf(ErrUnavailable, "listing of era %d after era %d", reading.Era, before.Era)
+	}
 	changed := f.Merge(reading, "store")
-	f.log.Log(events.StoreListed, zap.Uint64("era", reading.Era), zap.Uint64("revision", reading.Revision),
-		zap.Uint64("own_revision", before), zap.Int("items", len(reading.Items)), zap.Int("changed", changed))
-	f.Confirm(reading.Revision, sentAt)
+	f.log.Log(events.StoreListed, append(positionFields(reading.Position), zap.Stringer("own_position", before),
+		zap.Int("items", len(reading.Items)), zap.Int("changed", changed))...)
+	f.Confirm(reading.Position, sentAt)
 	return nil
 }
 
 // watch makes one watch call and merges the changes.
 func (f *Follower) watch(ctx context.Context) error {
-	after, hold := f.Revision(), f.watchTimes.Wait
+	after, hold := f.Position(), f.watchTimes.Wait
 	if !f.Watching() {
 		hold = firstWatchWait
 	}
 	watchCtx, cancel := context.WithTimeout(ctx, f.watchTimes.Wait+f.watchTimes.Slack)
 	defer cancel()
 	f.metrics.Count(metrics.StoreCalls, 1)
-	reading, err := f.source.Watch(watchCtx, after, hold)
+	reading, err := f.source.Watch(watchCtx, after.Revision, hold)
 	if err != nil {
 		return err
 	}
+	if reading.Era != after.Era {
+		return errors.Wrapf(ErrHistoryLost, "watch of era %d after position %s", reading.Era, after)
+	}
 	f.Merge(reading, "store")
-	f.Confirm(reading.Revision, time.Now())
+	f.Confirm(reading.Position, time.Now())
 	if len(reading.Items) > 0 {
 		wait.For(ctx, CoalesceDelay)
 	}
 	return nil
 }
 
+// positionFields returns the log fields of a position.
+func positionFields(p directory.Position) []zap.Field {
+	return []zap.Field{zap.Uint64("era", p.Era), zap.Uint64("revision", p.Revision)}
+}
+
 // Merge applies the changes of a reading, publishes the new directory and returns the
 // number of items that changed. The origin of the reading, from, is written to the log.
 func (f *Follower) Merge(r Reading, from string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	before := f.state.Revision()
+	before := f.state.Position()
 	items := f.state.Merge(r, now)
 	changes := make([]directory.Change, 0, len(items))
 	for _, i := range items {
@@ -291,14 +305,15 @@
 			changes = append(changes, c)
 		}
 	}
-	refused := f.builder.Apply(changes, f.state.Revision(), now)
+	refused := f.builder.Apply(changes, f.state.Position(), now)
 	for _, x := range refused {
 		f.log.Log(events.ItemRefused, zap.Uint64("revision", x.Revision), zap.String("subject", x.Subject), zap.String("reason", x.Reason))
 	}
-	if len(changes) > 0 || f.state.Revision() > before {
+	after := f.state.Position()
+	if len(changes) > 0 || after.IsAfter(before) {
 		f.publish(from)
 	}
-	f.revision.Store(f.state.Revision())
+	f.position.Store(&after)
 	return len(items)
 }
 
@@ -329,9 +344,9 @@
 	next := f.builder.Build()
 	old := f.current.Swap(next)
 	if old == nil || old.Config.Version != next.Config.Version || old.ServerCount() != next.ServerCount() {
-		f.log.Log(events.DirectoryApplied, zap.Uint64("revision", next.Revision), zap.String("from", from),
+		f.log.Log(events.DirectoryApplied, append(positionFields(next.Position), zap.String("from", from),
 			zap.Uint64("config_version", next.Config.Version), zap.Int("routes", len(next.Config.Routes)),
-			zap.Int("servers", next.ServerCount()))
+			zap.Int("servers", next.ServerCount()))...)
 	}
 	for _, fn := range f.onChange {
 		fn(next)
--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -113,7 +113,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	newest := uint64(len(s.history.events))
-	r := Reading{Era: s.era, Revision: newest, Complete: true}
+	r := Reading{Position: directory.Position{Era: s.era, Revision: newest}, Complete: true}
 	for key, rev := range s.history.at(newest) {
 		i := s.history.events[rev-1]
 		r.Items = append(r.Items, Item{Key: key, Value: i.Value, Revision: rev, ReadAt: time.Now()})
@@ -142,12 +142,12 @@
 			for i := range events {
 				events[i].ReadAt = time.Now()
 			}
-			return Reading{Era: era, Revision: newest, Items: events}, nil
+			return Reading{Position: directory.Position{Era: era, Revision: newest}, Items: events}, nil
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return Reading{Era: era, Revision: newest}, nil
+			return Reading{Position: directory.Position{Era: era, Revision: newest}}, nil
 		case <-ctx.Done():
 			return Reading{}, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
 		}
@@ -379,11 +379,11 @@
 		defer stop()
 		time.Sleep(time.Second)
 		is.Equal(s.calls(), 1) // the first listing
-		f.Merge(Reading{Revision: 5, Items: []Item{{Key: "config", Value: []byte("4"), Revision: 5}}}, "peer")
+		f.Merge(Reading{Position: directory.Position{Revision: 5}, Items: []Item{{Key: "config", Value: []byte("4"), Revision: 5}}}, "peer")
 		is.Equal(version(f), uint64(4))
-		f.Confirm(5, time.Now())
+		f.Confirm(directory.Position{Revision: 5}, time.Now())
 		is.Equal(f.Age(time.Now()), time.Duration(0))
-		f.Confirm(6, time.Now().Add(time.Hour)) // ignored: the daemon is behind this revision
+		f.Confirm(directory.Position{Revision: 6}, time.Now().Add(time.Hour)) // ignored: the daemon is behind this revision
 		time.Sleep(time.Minute)
 		is.Equal(f.Age(time.Now()), time.Minute)
 		is.Equal(s.calls(), 0)
@@ -521,7 +521,7 @@
 		starting := NewFollower(Options{
 			Source: s, Decoder: fakeDecoder{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Watch: WatchTimesFor(recoveryTime, maxChangeDelay),
 		})
-		starting.Merge(old.ChangesSince(0), "peer")
+		starting.Merge(old.ChangesSince(directory.Position{}), "peer")
 		is.Equal(len(starting.Current().Candidates("p")), 2)
 		is.True(starting.Current().ByCookie(directory.CookieOf(1)) != nil)
 		// Both daemons retire them at the same time.
--- a/internal/registry/register.go
+++ b/internal/registry/register.go
@@ -53,7 +53,7 @@
 func (r *Registration) Run(ctx context.Context) {
 	// Without a configuration there is no directory yet. The daemon registers all the
 	// same, so that its peers tell it of the first one.
-	for r.Follower.Revision() == 0 {
+	for r.Follower.Position().IsZero() {
 		if !wait.For(ctx, directoryPollInterval) {
 			return
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -14,7 +14,8 @@
 // Errors of a Source.
 var (
 	// ErrHistoryLost means that the source no longer has the changes after the
-	// requested revision. Only a new listing returns the current state.
+	// requested revision, or was restored meanwhile. Only a new listing returns the
+	// current state.
 	ErrHistoryLost = errors.New("history is no longer available")
 	// ErrThrottled means that the source refused a call because of its rate limit.
 	ErrThrottled = errors.New("call rate exceeded")
@@ -41,15 +42,12 @@
 	ReadAt time.Time
 }
 
-// Reading is the result of reading the store up to Revision: all items, or the changes
-// after another revision.
+// Reading is the result of reading the store up to a position: all items, or the
+// changes after another position of the same era.
 type Reading struct {
-	// Era counts the restores of the store from a backup. Each of them makes it assign
-	// revisions again that it had assigned before.
-	Era      uint64
-	Revision uint64
+	directory.Position
 	// Complete reports whether Items holds all items of the store, and possibly
-	// deleted ones. Otherwise it holds the changes since the requested revision.
+	// deleted ones. Otherwise it holds the changes since the requested position.
 	Complete bool
 	Items    []Item
 }
@@ -60,7 +58,8 @@
 	// List returns all items.
 	List(ctx context.Context) (Reading, error)
 	// Watch returns the changes after a revision as soon as there are any, or an
-	// empty reading once wait has passed.
+	// empty reading once wait has passed. If the store was restored since the revision
+	// was read, the reading has a later era and may lack changes.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Reading, error)
 	// CreateLease creates a lease that expires after ttl unless it is renewed.
 	CreateLease(ctx context.Context, ttl time.Duration) (lease uint64, err error)
--- a/internal/registry/state_test.go
+++ b/internal/registry/state_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"knapweedshore.example/internal/directory"
 )
 
 // history holds all changes of a store, so that every past state can be read.
@@ -32,7 +35,7 @@
 
 // list returns a complete reading of a revision.
 func (h *history) list(revision uint64) Reading {
-	r := Reading{Revision: revision, Complete: true}
+	r := Reading{Position: directory.Position{Revision: revision}, Complete: true}
 	for key, rev := range h.at(revision) {
 		r.Items = append(r.Items, Item{Key: key, Revision: rev})
 	}
@@ -41,7 +44,7 @@
 
 // changes returns the changes after one revision up to another.
 func (h *history) changes(after, upTo uint64) Reading {
-	return Reading{Revision: upTo, Items: h.events[after:upTo]}
+	return Reading{Position: directory.Position{Revision: upTo}, Items: h.events[after:upTo]}
 }
 
 // live returns the revisions of the items that are not deleted, by key.
@@ -55,37 +58,50 @@
 	return out
 }
 
-// Guards against a state that differs from the store or goes back to an older
-// revision after any sequence of listings, watches and responses of peers, old
-// and new ones mixed.
+// Guards against a state that differs from the store or goes back to an older position
+// after any sequence of listings, watches and responses of peers, old and new ones mixed,
+// while the store is restored from backups.
 func TestStateFollowsTheStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var h history
-		for range rapid.IntRange(1, 40).Draw(t, "events") {
-			key := fmt.Sprint("k", rapid.IntRange(0, 4).Draw(t, "key"))
-			_, exists := h.at(uint64(len(h.events)))[key]
-			h.add(Item{Key: key, Deleted: exists && rapid.Bool().Draw(t, "delete")})
+		var eras []history
+		for range rapid.IntRange(1, 3).Draw(t, "eras") {
+			var h history
+			if len(eras) > 0 {
+				last := eras[len(eras)-1].events
+				h.events = slices.Clone(last[:rapid.IntRange(1, len(last)).Draw(t, "revision of the backup")])
+			}
+			for range rapid.IntRange(1, 40).Draw(t, "events") {
+				key := fmt.Sprint("k", rapid.IntRange(0, 4).Draw(t, "key"))
+				_, exists := h.at(uint64(len(h.events)))[key]
+				h.add(Item{Key: key, Deleted: exists && rapid.Bool().Draw(t, "delete")})
+			}
+			eras = append(eras, h)
 		}
 		now := time.Unix(0, 0)
 		states := []*State{NewState(), NewState(), NewState()}
-		newest := uint64(len(h.events))
 		for range rapid.IntRange(1, 40).Draw(t, "readings") {
 			s := states[rapid.IntRange(0, 2).Draw(t, "state")]
-			before := s.Revision()
+			before := s.Position()
+			era := rapid.IntRange(0, len(eras)-1).Draw(t, "era")
+			h, newest := eras[era], uint64(len(eras[era].events))
+			var r Reading
 			switch rapid.IntRange(0, 2).Draw(t, "kind") {
 			case 0:
-				s.Merge(h.list(rapid.Uint64Range(1, newest).Draw(t, "revision")), now)
+				r = h.list(rapid.Uint64Range(1, newest).Draw(t, "revision"))
+				r.Era = uint64(era)
 			case 1:
-				after := rapid.Uint64Range(0, before).Draw(t, "after")
-				s.Merge(h.changes(after, rapid.Uint64Range(after, newest).Draw(t, "upTo")), now)
+				after := rapid.Uint64Range(0, min(before.Revision, newest)).Draw(t, "after")
+				r = h.changes(after, rapid.Uint64Range(after, newest).Draw(t, "upTo"))
+				r.Era = uint64(era)
 			case 2:
-				s.Merge(states[rapid.IntRange(0, 2).Draw(t, "peer")].ChangesSince(before), now)
+				r = states[rapid.IntRange(0, 2).Draw(t, "peer")].ChangesSince(before)
 			}
-			if s.Revision() < before {
-				t.Fatalf("revision went from %d back to %d", before, s.Revision())
+			s.Merge(r, now)
+			if before.IsAfter(s.Position()) {
+				t.Fatalf("position went from %s back to %s", before, s.Position())
 			}
-			if got, want := fmt.Sprint(live(s)), fmt.Sprint(h.at(s.Revision())); got != want {
-				t.Fatalf("at revision %d: got %s, want %s", s.Revision(), got, want)
+			if got, want := fmt.Sprint(live(s)), fmt.Sprint(eras[s.Position().Era].at(s.Position().Revision)); got != want {
+				t.Fatalf("at position %s: got %s, want %s", s.Position(), got, want)
 			}
 			now = now.Add(rapid.SampledFrom([]time.Duration{0, time.Second, 2 * tombstoneTTL}).Draw(t, "pause"))
 		}
@@ -98,15 +114,15 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	s := NewState()
-	s.Merge(Reading{Revision: 2, Items: []Item{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}}, now)
-	s.Merge(Reading{Revision: 3, Items: []Item{{Key: "a", Revision: 3, Deleted: true, ReadAt: now}}}, now)
-	r := s.ChangesSince(2)
+	s.Merge(Reading{Position: directory.Position{Revision: 2}, Items: []Item{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}}, now)
+	s.Merge(Reading{Position: directory.Position{Revision: 3}, Items: []Item{{Key: "a", Revision: 3, Deleted: true, ReadAt: now}}}, now)
+	r := s.ChangesSince(directory.Position{Revision: 2})
 	is.True(!r.Complete)
 	is.Equal(len(r.Items), 1)
-	s.Merge(Reading{Revision: 3}, now.Add(tombstoneTTL+time.Second))
-	r = s.ChangesSince(2)
+	s.Merge(Reading{Position: directory.Position{Revision: 3}}, now.Add(tombstoneTTL+time.Second))
+	r = s.ChangesSince(directory.Position{Revision: 2})
 	is.True(r.Complete)
 	is.Equal(len(r.Items), 1)
 	is.Equal(r.Items[0].Key, "b")
-	is.True(!s.ChangesSince(3).Complete)
+	is.True(!s.ChangesSince(directory.Position{Revision: 3}).Complete)
 }
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -5,18 +5,24 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 )
 
+// firstEra is the era of a store that was never restored.
+const firstEra = 1
+
 // pageSize is the maximum number of items in a page of a listing.
 const pageSize = 50
 
@@ -32,6 +38,9 @@
 
 // Store keeps items in memory and serves them through Endpoints.
 type Store struct {
+	// restores counts the restores.
+	restores atomic.Uint64
+
 	mu       sync.Mutex
 	revision uint64
 	items    map[string]Item
@@ -98,6 +107,33 @@
 	s.droppedRevision, s.events = s.revision, nil
 }
 
+// Backup is a copy of a store.
+type Backup struct {
+	revision uint64
+	items    map[string]Item
+	leases   map[uint64]time.Time
+}
+
+// Backup returns a copy of the current items and leases.
+func (s *Store) Backup() Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Backup{revision: s.revision, items: maps.Clone(s.items), leases: maps.Clone(s.leases)}
+}
+
+// Restore replaces the items and leases by those of a backup. Revisions after that of
+// the backup are assigned again.
+func (s *Store) Restore(b Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restores.Add(1)
+	s.revision, s.items, s.leases = b.revision, maps.Clone(b.items), maps.Clone(b.leases)
+	s.events = slices.DeleteFunc(s.events, func(i Item) bool { return i.Revision > b.revision })
+	s.droppedRevision = min(s.droppedRevision, b.revision)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Item returns the item with a key. It reports false if there is none.
 func (s *Store) Item(key string) (Item, bool) {
 	s.mu.Lock()
@@ -212,11 +248,29 @@
 			next.ServeHTTP(discardResponse{header: http.Header{}}, r)
 			panic(http.ErrAbortHandler)
 		default:
-			next.ServeHTTP(w, r)
+			next.ServeHTTP(&eraWriter{ResponseWriter: w, store: e.store}, r)
 		}
 	})
 }
 
+// eraWriter adds the store's era at the time of the response as a header.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+}
+
+func (w *eraWriter) WriteHeader(status int) {
+	w.Header().Set("Store-Era", strconv.FormatUint(firstEra+w.store.restores.Load(), 10))
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *eraWriter) Write(b []byte) (int, error) {
+	if w.Header().Get("Store-Era") == "" {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(b)
+}
+
 // discardResponse is an http.ResponseWriter that discards the response.
 type discardResponse struct{ header http.Header }
 
@@ -294,7 +348,7 @@
 			events = append(events, i)
 		}
 	}
-	return events, s.revision, s.changed, after >= s.droppedRevision
+	return events, s.revision, s.changed, after >= s.droppedRevision && after <= s.revision
 }
 
 func (e *Endpoint) txn(w http.ResponseWriter, r *http.Request) {
