Pause between listings of a store that keeps no history

Cause: a watch that failed for lack of history was followed by a listing at once, and the listing reset the count of failures. A store that forgets its history before the next watch, as a restored one did, was called as fast as it answered.

Change: the follower remembers the position after which the history is lost. The first loss lists at once; the next ones, until a watch is answered, pause as after any failed call. No listing is made once the position has changed.

--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -189,10 +189,15 @@
 	if f.prefetch(ctx) {
 		f.log.Log(events.DirectoryFromPeer, positionFields(f.Position())...)
 	}
-	relist := false
-	failures := 0
+	// The store has no history after lost. A listing is needed unless a peer supplies a later
+	// state before. At the start, nothing has been read yet.
+	var lost directory.Position
+	// failures counts the failed calls in a row, losses the watches without history since
+	// the last one that was answered.
+	failures, losses := 0, 0
 	for ctx.Err() == nil {
-		listed := !f.Position().IsZero() && !relist
+		position := f.Position()
+		listed := position != lost
 		if listed && !role.ShouldWatch(time.Now()) {
 			f.setWatching(false)
 			failures = 0
@@ -211,13 +216,20 @@
 		f.setWatching(listed && err == nil)
 		if err == nil {
 			f.logRecovery(failures)
-			relist, failures = false, 0
+			failures, lost = 0, directory.Position{}
+			if listed {
+				losses = 0
+			}
 			continue
 		}
 		f.recordFailure(err, failures)
 		failures++
 		if errors.Is(err, ErrHistoryLost) {
-			relist = true
+			lost = position
+			losses++
+			if losses > 1 {
+				wait.For(ctx, retryPause(losses))
+			}
 			continue
 		}
 		f.source.Close()
--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -26,6 +26,7 @@
 	history   history
 	changed   chan struct{}
 	callCount int
+	listings  int
 	// err, if set, is returned by all calls. If silent is set, calls and pending
 	// watches hang until their context ends.
 	err    error
@@ -34,6 +35,8 @@
 	delay time.Duration
 	// compacted is the revision up to which the history is lost.
 	compacted uint64
+	// onLoss, if set, is called before a watch fails for lack of history.
+	onLoss func()
 	// era counts the restores.
 	era          uint64
 	leaseExpired bool
@@ -110,6 +113,12 @@
 	if err := s.startCall(ctx); err != nil {
 		return Reading{}, err
 	}
+	s.update(func(s *fakeStore) { s.listings++ })
+	return s.reading(), nil
+}
+
+// reading returns all items.
+func (s *fakeStore) reading() Reading {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	newest := uint64(len(s.history.events))
@@ -118,7 +127,7 @@
 		i := s.history.events[rev-1]
 		r.Items = append(r.Items, Item{Key: key, Value: i.Value, Revision: rev, ReadAt: time.Now()})
 	}
-	return r, nil
+	return r
 }
 
 func (s *fakeStore) Watch(ctx context.Context, after uint64, hold time.Duration) (Reading, error) {
@@ -137,6 +146,9 @@
 			<-ctx.Done()
 			return Reading{}, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
 		case after < compacted, after > newest:
+			if s.onLoss != nil {
+				s.onLoss()
+			}
 			return Reading{}, ErrHistoryLost
 		case len(events) > 0:
 			for i := range events {
