Do not keep an item for the tombstone of an earlier one

What could happen: a server that had left stayed in use on a daemon that fetched a complete reading from a peer.

Cause: State.Merge took every key of a complete reading for present, tombstones included. A peer that saw a deletion, and then listed the store after the item had been created and deleted once more, has a tombstone that is older than the item of the daemon that asks. The tombstone was not applied, for its revision, and protected the item from removal.

--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -44,7 +44,7 @@
 	var changed []Item
 	present := make(map[string]bool, len(r.Items))
 	for _, i := range r.Items {
-		present[i.Key] = true
+		present[i.Key] = !i.Deleted
 		if i.Revision > max(s.position.Revision, s.items[i.Key].Revision) {
 			if i.Deleted && len(i.Value) == 0 {
 				i.Value = s.items[i.Key].Value
--- a/internal/registry/state_test.go
+++ b/internal/registry/state_test.go
@@ -126,3 +126,18 @@
 	is.Equal(r.Items[0].Key, "b")
 	is.True(!s.ChangesSince(directory.Position{Revision: 3}).Complete)
 }
+
+// Guards against a server that a complete reading of a peer brings back, because the peer
+// has only the tombstone of an earlier registration.
+func TestTombstoneInACompleteReadingKeepsNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	peer, s := NewState(), NewState()
+	peer.Merge(Reading{Position: directory.Position{Revision: 2}, Complete: true, Items: []Item{{Key: "a", Revision: 2}}}, now)
+	peer.Merge(Reading{Position: directory.Position{Revision: 3}, Items: []Item{{Key: "a", Revision: 3, Deleted: true, ReadAt: now}}}, now)
+	s.Merge(Reading{Position: directory.Position{Revision: 4}, Items: []Item{{Key: "a", Revision: 4}}}, now)
+	// The peer lists the store after a was deleted again, as revision 5.
+	peer.Merge(Reading{Position: directory.Position{Revision: 6}, Complete: true, Items: []Item{{Key: "b", Revision: 6}}}, now)
+	s.Merge(peer.ChangesSince(s.Position()), now)
+	is.Equal(live(s), map[string]uint64{"b": 6})
+}
