Keep what is known where a restored store has older items

What callers could see: after a restore, a server that had drained or left is offered new flows again, a starting daemon serves an old configuration or none, and servers whose registrations the copy lacks take no new flows until they register again.

Cause: the reading that begins an era replaced the copy of the store, but the store itself comes back with items that are older than those of the daemons. The builder's own check of versions protected only daemons that had seen the newer configuration, and nothing protected from older registrations.

Change: directory.Supersedes tells from the version of a configuration, and from the start and the count of writes of a server, which of two items was written later. State keeps the known one, and passes it on to peers, until the item changes in the new era. A missing configuration stays. Servers that a restored store lacks take new flows as long as expired ones may. Event 326 says that the store was restored and how many known items were kept.

--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -50,6 +50,8 @@
 	// its last registration if that is known.
 	Deleted   string
 	LastState *Server
+	// Lost is set if the registration has vanished because the store was restored.
+	Lost bool
 	// Invalid is the id of a server whose registration is not usable.
 	Invalid string
 	// VM is the registration of a daemon, DeletedVM the address of a daemon whose
@@ -177,9 +179,9 @@
 	case c.Server != nil:
 		return b.register(c.Server)
 	case c.Deleted != "":
-		b.markMissing(c.Deleted, c.LastState, now)
+		b.markMissing(c.Deleted, c.LastState, c.Lost, now)
 	case c.Invalid != "":
-		b.markMissing(c.Invalid, nil, now)
+		b.markMissing(c.Invalid, nil, false, now)
 		return c.Problem.Error()
 	case c.VM != nil:
 		b.vms[c.VM.Addr] = c.VM
@@ -235,9 +237,9 @@
 
 // markMissing handles a registration that has vanished. The server is kept for its
 // open flows; it is retired at once if it was draining, otherwise it has crashed or
-// its registration has expired with the store. lastState is used for a server that
-// vanished before this daemon started.
-func (b *Builder) markMissing(name string, lastState *Server, now time.Time) {
+// its registration has expired with the store or was lost by a restore. lastState is used
+// for a server that vanished before this daemon started.
+func (b *Builder) markMissing(name string, lastState *Server, lost bool, now time.Time) {
 	old := b.servers[name]
 	if old == nil {
 		old = lastState
@@ -246,7 +248,7 @@
 		return
 	}
 	missing := *old
-	missing.MissingSince = now
+	missing.MissingSince, missing.LostByRestore = now, lost
 	missing.Retired = old.Draining
 	b.addServer(&missing)
 }
@@ -302,7 +304,7 @@
 		d.byCookie[s.Cookie] = s
 		switch {
 		case s.Draining, s.Retired:
-		case !s.MissingSince.IsZero():
+		case !s.MissingSince.IsZero() && !s.LostByRestore:
 			missing[s.Pool] = append(missing[s.Pool], s)
 		default:
 			d.pools[s.Pool] = append(d.pools[s.Pool], s)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -46,11 +46,16 @@
 	// Started is the start time of the server's process, which tells two processes
 	// with one id apart; zero if unknown.
 	Started int64
+	// Writes counts what the server's process has written to its registration.
+	Writes uint64
 	// CreateRevision and Revision are the store's revisions of the first and the
 	// latest write of the registration.
 	CreateRevision, Revision uint64
 	// MissingSince is when the registration vanished; zero while it is registered.
 	MissingSince time.Time
+	// LostByRestore is set if the registration is missing from a restored store. The
+	// server takes new flows until it should have registered again.
+	LostByRestore bool
 	// Retired is set if the server is kept only for the packets of its open flows.
 	Retired bool
 }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -57,6 +57,7 @@
 	ItemRefused       = Event{Number: 321, Level: warnLevel, Message: "store item refused", Action: "find the writer of the item"}
 	StoreWatchChanged = Event{Number: 322, Level: infoLevel, Message: "store watch started or stopped", Action: "none"}
 	DirectoryFromPeer = Event{Number: 324, Level: infoLevel, Message: "directory fetched from a peer at startup", Action: "none"}
+	StoreRestored     = Event{Number: 326, Level: warnLevel, Message: "store was restored from a backup", Action: "check that the operators' last changes are in the store"}
 	StoreListed       = Event{Number: 325, Level: infoLevel, Message: "store listed", Action: "none", PerSecond: listingLinesPerSecond}
 
 	RegistrationFailed = Event{Number: 323, Level: warnLevel, Message: "registration in the store failed", Action: "check the platform store"}
@@ -88,7 +89,7 @@
 		LinesDropped, Reloaded, ReloadRefused, Ready, BacklogDropped,
 		MemberJoined, MemberLeaving, MemberSuspected, MemberDied, SuspicionRefuted, LinkOpened, LinkLost, PeerRefused,
 		TablesApplied, TablesRegressed, TablesInvalid, TablesUnconfirmed, FetchFailed, StoreDown, StoreRecovered,
-		DirectoryApplied, ItemRefused, StoreWatchChanged, RegistrationFailed, DirectoryFromPeer, StoreListed,
+		DirectoryApplied, ItemRefused, StoreWatchChanged, RegistrationFailed, DirectoryFromPeer, StoreListed, StoreRestored,
 		ServerEjected, ServerReinstated, EjectionRefused, SilentFlow, FlowTableFull, NewFlowLimited, BackupChanged,
 		FlowPlaced, FlowRefused, FlowUnanswered, ServerSuspected, ServerRecovered, ZoneUnreachable, ZoneReachable,
 	}
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -118,7 +118,7 @@
 			return nil, err
 		}
 		m.Items = append(m.Items, &peerapi.Item{
-			Key: i.Key, Value: value, Packed: packed, Revision: i.Revision, Created: i.Created, Deleted: i.Deleted, Lease: i.Lease,
+			Key: i.Key, Value: value, Packed: packed, Revision: i.Revision, Created: i.Created, Deleted: i.Deleted, Lost: i.Lost, Lease: i.Lease,
 			AgeMs: uint64(max(0, now.Sub(i.ReadAt)).Milliseconds()),
 		})
 	}
@@ -137,7 +137,7 @@
 			}
 		}
 		r.Items = append(r.Items, registry.Item{
-			Key: i.Key, Value: value, Revision: i.Revision, Created: i.Created, Deleted: i.Deleted, Lease: i.Lease,
+			Key: i.Key, Value: value, Revision: i.Revision, Created: i.Created, Deleted: i.Deleted, Lost: i.Lost, Lease: i.Lease,
 			ReadAt: now.Add(-milliseconds(i.AgeMs)),
 		})
 	}
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -123,9 +123,14 @@
 	if o.Keep == (directory.Retention{}) {
 		o.Keep = directory.DefaultRetention
 	}
+	supersedes := func(next, known Item) bool {
+		nextChange, _ := decode(o.Decoder, next)
+		knownChange, _ := decode(o.Decoder, known)
+		return directory.Supersedes(nextChange, knownChange)
+	}
 	f := &Follower{
 		start: time.Now(), watchTimes: o.Watch, prefetch: o.Prefetch, source: o.Source, decoder: o.Decoder, log: o.Log, metrics: o.Metrics,
-		state: NewState(), builder: directory.NewBuilderWith(o.Keep),
+		state: NewState(supersedes), builder: directory.NewBuilderWith(o.Keep),
 	}
 	f.position.Store(&directory.Position{})
 	return f
@@ -310,10 +315,14 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	before := f.state.Position()
-	items := f.state.Merge(r, now)
+	items, kept := f.state.Merge(r, now)
+	if r.Era > before.Era && !before.IsZero() && f.state.Position().Era == r.Era {
+		f.log.Log(events.StoreRestored, append(positionFields(r.Position), zap.Stringer("own_position", before), zap.String("from", from),
+			zap.Int("items", len(r.Items)), zap.Int("kept", kept))...)
+	}
 	changes := make([]directory.Change, 0, len(items))
 	for _, i := range items {
-		if c, ok := f.decode(i); ok {
+		if c, ok := decode(f.decoder, i); ok {
 			changes = append(changes, c)
 		}
 	}
@@ -329,21 +338,21 @@
 	return len(items)
 }
 
-// decode returns the change that an item stands for. The change of a deleted server
-// includes the server's last record.
-func (f *Follower) decode(i Item) (directory.Change, bool) {
+// decode returns the change that an item stands for. It reports false if the item does not
+// concern the directory. The change of a deleted server includes the server's last record.
+func decode(d Decoder, i Item) (directory.Change, bool) {
 	c, ok := decodeVM(i)
 	if !ok {
-		c, ok = f.decoder.Decode(i)
+		c, ok = d.Decode(i)
 	}
 	if i.Deleted && len(i.Value) > 0 {
 		last := i
 		last.Deleted = false
-		if before, decodes := f.decoder.Decode(last); decodes {
+		if before, decodes := d.Decode(last); decodes {
 			c.LastState = before.Server
 		}
 	}
-	c.ReadAt = i.ReadAt
+	c.ReadAt, c.Lost = i.ReadAt, i.Lost
 	return c, ok
 }
 
--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -193,12 +193,15 @@
 func (s *fakeStore) Close() {}
 
 // fakeDecoder decodes the key "config", whose value is the version, and the keys
-// s1, s2 and so on, which are servers.
+// s1, s2 and so on, which are servers. Their values may hold the number of writes and the
+// word "draining".
 type fakeDecoder struct{}
 
 func (fakeDecoder) Decode(i Item) (directory.Change, bool) {
 	c := directory.Change{Revision: i.Revision}
 	switch {
+	case i.Key == "config" && i.Deleted:
+		c.Problem = errors.New("configuration was deleted")
 	case i.Key == "config":
 		var version uint64
 		if _, err := fmt.Sscan(string(i.Value), &version); err != nil {
@@ -217,6 +220,8 @@
 			return c, true
 		}
 		c.Server = &directory.Server{Name: i.Key, Number: number, Cookie: directory.CookieOf(number), Pool: "p", CreateRevision: i.Revision}
+		_, _ = fmt.Sscan(string(i.Value), &c.Server.Writes) // not every value has a number
+		c.Server.Draining = strings.Contains(string(i.Value), "draining")
 	}
 	return c, true
 }
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 
 	"knapweedshore.example/internal/directory"
+	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/metrics"
 )
 
 // storeDelay is the time that the store takes to answer in these tests.
@@ -109,3 +111,90 @@
 		is.Equal(s.listings, 1) // at the start
 	})
 }
+
+// poolOf returns the names of the servers that take new flows.
+func poolOf(f *Follower) string {
+	names := ""
+	for _, s := range f.Current().Candidates("p") {
+		names += s.Name + " "
+	}
+	return names
+}
+
+// Guards against a configuration or a server that a restored store brings back, on daemons that knew
+// better and on those that start afterwards.
+func TestRestoredStoreBringsNothingOutdatedBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		s.delay = storeDelay
+		s.put("config", "1")
+		for _, key := range []string{"s1", "s2", "s3", "s4"} {
+			s.put(key, "1")
+		}
+		f, stop := startFollower(t, s, fixedRole(true))
+		defer stop()
+		time.Sleep(time.Second)
+		s.put("config", "2")
+		s.put("s1", "2 draining")
+		s.put("s2", "2 draining")
+		time.Sleep(time.Second)
+		s.delete("s2")
+		s.put("s5", "1")
+		time.Sleep(time.Second)
+		is.Equal(poolOf(f), "s3 s4 s5 ")
+
+		s.restore(5)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(f.Position(), directory.Position{Era: 1, Revision: 5})
+		is.Equal(version(f), uint64(2))
+		is.Equal(poolOf(f), "s3 s4 s5 ") // s5 has yet to register again
+
+		starting := NewFollower(Options{
+			Source: s, Decoder: fakeDecoder{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Watch: WatchTimesFor(recoveryTime, maxChangeDelay),
+		})
+		starting.Merge(f.ChangesSince(directory.Position{}), "peer")
+		is.Equal(version(starting), uint64(2))
+		is.Equal(poolOf(starting), "s3 s4 s5 ")
+
+		s.put("s1", "5 draining")
+		s.delete("s2") // its registration expires again
+		time.Sleep(directory.DefaultRetention.Missing + time.Second)
+		is.Equal(poolOf(f), "s3 s4 ")
+		s.put("s5", "6")
+		s.put("s1", "1 restarted")
+		time.Sleep(time.Second)
+		is.Equal(poolOf(f), "s1 s3 s4 s5 ")
+	})
+}
+
+// Guards against daemons without a configuration because the copy was taken before the first one.
+func TestConfigurationSurvivesARestoreToBeforeIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		s.delay = storeDelay
+		s.put("s1", "1")
+		s.put("config", "1")
+		f, stop := startFollower(t, s, fixedRole(true))
+		defer stop()
+		time.Sleep(time.Second)
+		s.restore(1)
+		time.Sleep(time.Second)
+		starting := NewFollower(Options{
+			Source: s, Decoder: fakeDecoder{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Watch: WatchTimesFor(recoveryTime, maxChangeDelay),
+		})
+		for range 2 { // a complete reading, then one that a listing in the same era has changed
+			starting.Merge(f.ChangesSince(starting.Position()), "peer")
+			is.Equal(version(starting), uint64(1))
+			is.Equal(version(f), uint64(1))
+			s.put("s2", "1")
+			s.update(func(s *fakeStore) { s.compacted = 2 })
+			time.Sleep(time.Second)
+		}
+		s.put("config", "1")
+		s.put("config", "2")
+		time.Sleep(time.Second)
+		is.Equal(version(f), uint64(2))
+	})
+}
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"bytes"
 	"time"
 
 	"knapweedshore.example/internal/directory"
@@ -21,27 +22,33 @@
 	// incompleteUpTo is the revision up to which deletions may be missing, because
 	// tombstones were dropped or the items come from a listing.
 	incompleteUpTo uint64
+	// supersedes reports whether next, an item of a later era or a tombstone for its
+	// absence, was written after the known item with the same key.
+	supersedes func(next, known Item) bool
 }
 
-// NewState returns a State without items.
-func NewState() *State { return &State{items: map[string]Item{}} }
+// NewState returns a State without items. The function supersedes decides which items are
+// replaced when the store was restored.
+func NewState(supersedes func(next, known Item) bool) *State {
+	return &State{items: map[string]Item{}, supersedes: supersedes}
+}
 
 // Position returns the position up to which all changes are known.
 func (s *State) Position() directory.Position { return s.position }
 
-// Merge applies the items that are newer than the state and returns them. Items up
+// Merge applies the items that are newer than the state and returns them, and the number
+// of items that a restored store has lost or replaced by older ones and that are kept. Items up
 // to the state's own revision are ignored: the state already includes every change
 // up to there, so it lacks such an item only if that was deleted since. Readings of
 // an earlier era are ignored, and incomplete ones of a later era, because revisions of
 // different eras do not compare.
-func (s *State) Merge(r Reading, now time.Time) []Item {
+func (s *State) Merge(r Reading, now time.Time) (changed []Item, kept int) {
 	switch {
 	case r.Era < s.position.Era, r.Era > s.position.Era && !r.Complete:
-		return nil
+		return nil, 0
 	case r.Era > s.position.Era:
 		return s.enterEra(r, now)
 	}
-	var changed []Item
 	present := make(map[string]bool, len(r.Items))
 	for _, i := range r.Items {
 		present[i.Key] = !i.Deleted
@@ -61,54 +68,73 @@
 	}
 	s.position.Revision = max(s.position.Revision, r.Revision)
 	s.pruneTombstones(now)
-	return changed
+	return changed, 0
 }
 
-// enterEra replaces the items by those of a complete reading of a later era and returns
-// all items, with tombstones for those that the reading lacks.
-func (s *State) enterEra(r Reading, now time.Time) []Item {
+// enterEra replaces the items by those of a complete reading of a later era, and returns
+// those that now exist or have become tombstones, and the number of known items kept in place of other ones. The store has come back from a copy, so
+// that an item may be older than the known one. That one is kept then, until the next
+// change of the item in the new era.
+func (s *State) enterEra(r Reading, now time.Time) (changed []Item, kept int) {
 	old := s.items
 	s.position, s.incompleteUpTo = r.Position, r.Revision
 	s.items = make(map[string]Item, len(r.Items))
-	changed := make([]Item, 0, len(r.Items))
 	for _, i := range r.Items {
+		known, isKnown := old[i.Key]
+		if isKnown && !s.supersedes(i, known) {
+			known.Revision, known.Created, known.Lease = i.Revision, i.Created, i.Lease
+			if i.Deleted != known.Deleted || !bytes.Equal(i.Value, known.Value) {
+				kept++
+			}
+			i = known
+		}
 		if i.Deleted && len(i.Value) == 0 {
-			i.Value = old[i.Key].Value
+			i.Value = known.Value
 		}
 		s.items[i.Key] = i
-		changed = append(changed, i)
+		if !i.Deleted || !known.Deleted {
+			changed = append(changed, i)
+		}
 	}
 	for key, i := range old {
 		if _, present := s.items[key]; present {
 			continue
 		}
-		wasDeleted := i.Deleted
 		i.Revision = r.Revision
-		if !wasDeleted {
-			i = tombstone(i, r.Revision, now)
+		tombstone := tombstoneOf(i, r.Revision, now)
+		tombstone.Lost = true
+		switch {
+		case i.Deleted:
+		case s.supersedes(tombstone, i):
+			i = tombstone
 			changed = append(changed, i)
+		default:
+			kept++
 		}
 		s.items[key] = i
 	}
 	s.pruneTombstones(now)
-	return changed
+	return changed, kept
 }
 
-// tombstone returns the tombstone of an item that a reading of a revision lacks.
-func tombstone(i Item, revision uint64, now time.Time) Item {
+// tombstoneOf returns the tombstone of an item that a reading of a revision lacks.
+func tombstoneOf(i Item, revision uint64, now time.Time) Item {
 	return Item{Key: i.Key, Value: i.Value, Revision: revision, Created: i.Created, Deleted: true, ReadAt: now}
 }
 
 // removeAbsent replaces the items that a complete reading of a revision lacks by
-// tombstones, unless they are newer than the reading. It returns the tombstones.
+// tombstones, unless they are newer than the reading or were kept from an earlier era. It
+// returns the tombstones.
 func (s *State) removeAbsent(present map[string]bool, revision uint64, now time.Time) []Item {
 	var changed []Item
 	for key, i := range s.items {
 		if present[key] || i.Deleted || i.Revision > revision {
 			continue
 		}
-		s.items[key] = tombstone(i, revision, now)
-		changed = append(changed, s.items[key])
+		if tombstone := tombstoneOf(i, revision, now); s.supersedes(tombstone, i) {
+			s.items[key] = tombstone
+			changed = append(changed, tombstone)
+		}
 	}
 	return changed
 }
--- a/internal/registry/state_test.go
+++ b/internal/registry/state_test.go
@@ -47,6 +47,9 @@
 	return Reading{Position: directory.Position{Revision: upTo}, Items: h.events[after:upTo]}
 }
 
+// replaceAlways lets each item of a restored store replace the known one.
+func replaceAlways(_, _ Item) bool { return true }
+
 // live returns the revisions of the items that are not deleted, by key.
 func live(s *State) map[string]uint64 {
 	out := map[string]uint64{}
@@ -78,7 +81,7 @@
 			eras = append(eras, h)
 		}
 		now := time.Unix(0, 0)
-		states := []*State{NewState(), NewState(), NewState()}
+		states := []*State{NewState(replaceAlways), NewState(replaceAlways), NewState(replaceAlways)}
 		for range rapid.IntRange(1, 40).Draw(t, "readings") {
 			s := states[rapid.IntRange(0, 2).Draw(t, "state")]
 			before := s.Position()
@@ -113,7 +116,7 @@
 func TestSinceAfterTombstonesWereDropped(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
-	s := NewState()
+	s := NewState(replaceAlways)
 	s.Merge(Reading{Position: directory.Position{Revision: 2}, Items: []Item{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}}, now)
 	s.Merge(Reading{Position: directory.Position{Revision: 3}, Items: []Item{{Key: "a", Revision: 3, Deleted: true, ReadAt: now}}}, now)
 	r := s.ChangesSince(directory.Position{Revision: 2})
@@ -132,7 +135,7 @@
 func TestTombstoneInACompleteReadingKeepsNothing(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
-	peer, s := NewState(), NewState()
+	peer, s := NewState(replaceAlways), NewState(replaceAlways)
 	peer.Merge(Reading{Position: directory.Position{Revision: 2}, Complete: true, Items: []Item{{Key: "a", Revision: 2}}}, now)
 	peer.Merge(Reading{Position: directory.Position{Revision: 3}, Items: []Item{{Key: "a", Revision: 3, Deleted: true, ReadAt: now}}}, now)
 	s.Merge(Reading{Position: directory.Position{Revision: 4}, Items: []Item{{Key: "a", Revision: 4}}}, now)
