Register again when the store shows another lease

What could happen: after a restore to before a daemon's restart, its registration depends on the lease of the process before, which nobody renews, and vanishes within ten minutes. The peers then do not find the daemon unless it reports to them.

Cause: the daemon checked that the directory has its registration, not with which lease. It renewed a lease that the restored store does not have or has given to another daemon.

Change: keepRegistered ends, and the daemon registers again, when the directory has no registration with the lease that it renews.

TestRegistrationHasTheLeaseThatIsRenewed failed before in the case of the earlier process; a lost registration already came back.

--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -40,6 +40,7 @@
 	// era counts the restores.
 	era          uint64
 	leaseExpired bool
+	lastLease    uint64
 }
 
 func newFakeStore() *fakeStore {
@@ -125,7 +126,7 @@
 	r := Reading{Position: directory.Position{Era: s.era, Revision: newest}, Complete: true}
 	for key, rev := range s.history.at(newest) {
 		i := s.history.events[rev-1]
-		r.Items = append(r.Items, Item{Key: key, Value: i.Value, Revision: rev, ReadAt: time.Now()})
+		r.Items = append(r.Items, Item{Key: key, Value: i.Value, Revision: rev, Lease: i.Lease, ReadAt: time.Now()})
 	}
 	return r
 }
@@ -167,7 +168,11 @@
 }
 
 func (s *fakeStore) CreateLease(ctx context.Context, _ time.Duration) (uint64, error) {
-	return 1, s.startCall(ctx)
+	err := s.startCall(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastLease++
+	return s.lastLease, err
 }
 
 func (s *fakeStore) RenewLease(ctx context.Context, _ uint64) error {
@@ -182,11 +187,14 @@
 	return nil
 }
 
-func (s *fakeStore) Put(ctx context.Context, key string, value []byte, _ uint64) error {
+func (s *fakeStore) Put(ctx context.Context, key string, value []byte, lease uint64) error {
 	if err := s.startCall(ctx); err != nil {
 		return err
 	}
-	s.put(key, string(value))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.add(Item{Key: key, Value: value, Lease: lease})
+	s.wake()
 	return nil
 }
 
--- a/internal/registry/register.go
+++ b/internal/registry/register.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/netip"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,7 +32,7 @@
 	directoryPollInterval = 50 * time.Millisecond
 	// presenceCheckInterval is the interval at which the daemon checks that the
 	// directory still has its own registration: the store may drop the keys of a
-	// machine without telling it.
+	// machine without telling it, and a restore may bring back an earlier registration.
 	presenceCheckInterval = 2 * time.Second
 )
 
@@ -105,12 +104,12 @@
 	return lease, r.Source.Put(ctx, vmKey(r.VM.Addr), value, lease)
 }
 
-// keepRegistered renews the lease until it has expired, the registration has
-// disappeared from the directory or ctx ends.
+// keepRegistered renews the lease until it has expired, the directory has no registration
+// with this lease or ctx ends.
 func (r *Registration) keepRegistered(ctx context.Context, lease uint64) {
 	renewAt := time.Now().Add(renewInterval)
 	for wait.For(ctx, presenceCheckInterval) {
-		if !r.isRegistered(r.VM.Addr) {
+		if !r.isRegistered(lease) {
 			return
 		}
 		if time.Now().Before(renewAt) {
@@ -131,12 +130,13 @@
 	return r.Source.RenewLease(ctx, lease)
 }
 
-// isRegistered reports whether the directory has a registration for addr. It
-// also returns true while the directory is missing or too old to tell.
-func (r *Registration) isRegistered(addr netip.Addr) bool {
+// isRegistered reports whether the directory has the registration with a lease. It also
+// returns true while the directory is missing or too old to tell.
+func (r *Registration) isRegistered(lease uint64) bool {
 	d := r.Follower.Current()
 	if d == nil || r.Follower.Age(time.Now()) > presenceCheckInterval {
 		return true
 	}
-	return d.VMs()[addr] != nil
+	vm := d.VMs()[r.VM.Addr]
+	return vm != nil && vm.Lease == lease
 }
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"context"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -198,3 +200,33 @@
 		is.Equal(version(f), uint64(2))
 	})
 }
+
+// Guards against a daemon whose registration depends on the lease of an earlier process, which nobody
+// renews after a restore, and against one that does not register again.
+func TestRegistrationHasTheLeaseThatIsRenewed(t *testing.T) {
+	for name, backup := range map[string]uint64{"registration lost": 1, "registration of an earlier process": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newFakeStore()
+				s.delay = storeDelay
+				s.put("config", "1")
+				addr := netip.MustParseAddr("10.0.0.1")
+				is.NoErr(s.Put(t.Context(), vmKey(addr), []byte(`{"name":"old","zone":"a"}`), 99))
+				f, stop := startFollower(t, s, fixedRole(true))
+				defer stop()
+				ctx, cancel := context.WithCancel(t.Context())
+				go newRegistration(s, f, addr).Run(ctx)
+				time.Sleep(time.Second)
+				is.Equal(f.Current().VMs()[addr].Lease, uint64(1))
+
+				s.restore(backup)
+				time.Sleep(2 * presenceCheckInterval)
+				is.Equal(f.Current().VMs()[addr].Name, "vm1")
+				is.Equal(f.Current().VMs()[addr].Lease, uint64(2))
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
