Restore the store in the soak

Change: even seeds restore the store from a backup (--restores N, 1 by default): changes of the configuration are lost, the operator and the servers write again what is lacking, and a route is toggled and probed once the daemons are stable. The stand-in servers count their writes. The restores come from a random sequence of their own; the other steps of a seed are the same with and without them, and recorded seeds keep their schedules.

TestSoakFindsDefects has a daemon that ignores eras.

--- a/cmd/knapweedshored/soak.go
+++ b/cmd/knapweedshored/soak.go
@@ -25,6 +25,9 @@
 	maxSoakJobs    = 4
 )
 
+// maxSoakRestores limits the restores of a seed, which each take up to 20 s.
+const maxSoakRestores = 10
+
 // errSoakFailed is returned for a seed whose report has violations.
 var errSoakFailed = errors.New("a promise was broken; see the reports")
 
@@ -52,6 +55,7 @@
 			&cli.DurationFlag{Name: "faults", Value: 15 * time.Second, Usage: "start faults for `TIME`"},
 			&cli.IntFlag{Name: "zones", Value: 3, Usage: "`N` availability zones"},
 			&cli.IntFlag{Name: "daemons", Value: 3, Usage: "`N` daemons in each zone"},
+			&cli.IntFlag{Name: "restores", Value: 1, Usage: "restore the store from a backup `N` times in seeds with faults of the whole store"},
 			&cli.IntSliceFlag{Name: "step", Usage: "run only the step with this `NUMBER`; repeatable"},
 			&cli.BoolFlag{Name: "shrink", Usage: "look for a smaller schedule that still fails"},
 			&cli.BoolFlag{Name: "verbose", Usage: "write each step to standard error"},
@@ -75,17 +79,24 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	var seeds []uint64
+	var runs []soak.Config
 	for i := range cmd.Int("seeds") {
-		seeds = append(seeds, config.Seed+uint64(i))
+		c := config
+		c.Seed += uint64(i)
+		if soak.HasStoreFaults(c.Seed) {
+			c.Restores = cmd.Int("restores")
+		}
+		runs = append(runs, c)
 	}
 	if cmd.Bool("regressions") {
-		seeds = nil
+		runs = nil
 		for _, r := range soak.Regressions {
-			seeds = append(seeds, r.Seed)
+			c := config
+			c.Seed, c.Restores = r.Seed, r.Restores
+			runs = append(runs, c)
 		}
 	}
-	return runSeeds(ctx, config, seeds, cmd.Int("jobs"), cmd.Bool("shrink"), cmd.Root().Writer)
+	return runSeeds(ctx, runs, cmd.Int("jobs"), cmd.Bool("shrink"), cmd.Root().Writer)
 }
 
 func soakConfig(cmd *cli.Command) (soak.Config, error) {
@@ -104,6 +115,8 @@
 		return c, usage.Errorf("--zones times --daemons is %d, want 2 to %d", total, maxSoakDaemons)
 	case cmd.Int("seeds") < 1:
 		return c, usage.Errorf("--seeds is %d, want at least 1", cmd.Int("seeds"))
+	case cmd.Int("restores") < 0 || cmd.Int("restores") > maxSoakRestores:
+		return c, usage.Errorf("--restores is %d, want 0 to %d", cmd.Int("restores"), maxSoakRestores)
 	case cmd.Int("jobs") < 1 || cmd.Int("jobs") > maxSoakJobs:
 		return c, usage.Errorf("--jobs is %d, want 1 to %d", cmd.Int("jobs"), maxSoakJobs)
 	case c.FaultPhase <= 0:
@@ -112,11 +125,11 @@
 	return c, nil
 }
 
-// runSeeds runs the seeds with a number of concurrent jobs and writes their reports.
-func runSeeds(ctx context.Context, config soak.Config, seeds []uint64, jobs int, shrink bool, out io.Writer) error {
-	pending := make(chan uint64, len(seeds))
-	for _, seed := range seeds {
-		pending <- seed
+// runSeeds runs seeds with a number of concurrent jobs and writes their reports.
+func runSeeds(ctx context.Context, runs []soak.Config, jobs int, shrink bool, out io.Writer) error {
+	pending := make(chan soak.Config, len(runs))
+	for _, c := range runs {
+		pending <- c
 	}
 	close(pending)
 	var mu sync.Mutex // guards errs and out
@@ -124,19 +137,17 @@
 	var group conc.WaitGroup
 	for range jobs {
 		group.Go(func() {
-			for seed := range pending {
+			for c := range pending {
 				if ctx.Err() != nil {
 					return
 				}
-				c := config
-				c.Seed = seed
 				report, err := runSeed(ctx, c, shrink)
 				mu.Lock()
 				if report != nil {
 					fmt.Fprint(out, report)
 				}
 				if err != nil {
-					errs = errors.Join(errs, errors.Wrapf(err, "seed %d", seed))
+					errs = errors.Join(errs, errors.Wrapf(err, "seed %d", c.Seed))
 				}
 				mu.Unlock()
 			}
--- a/cmd/knapweedshored/soak_test.go
+++ b/cmd/knapweedshored/soak_test.go
@@ -29,6 +29,7 @@
 	drainIgnored      = "drain ignored"
 	positionalCookies = "cookies by position"
 	itemsLost         = "revision without its items"
+	erasIgnored       = "eras of the store ignored"
 )
 
 // serveDefectiveEntry runs an entry daemon with a defect and returns its exit code.
@@ -41,6 +42,8 @@
 			o.Decoder = &positionalDecoder{Decoder: o.Decoder, positions: map[string]uint32{}}
 		case itemsLost:
 			o.Source = lossySource{o.Source}
+		case erasIgnored:
+			o.Source = eralessSource{o.Source}
 		}
 		return o
 	})
@@ -94,12 +97,31 @@
 	return r, err
 }
 
+// eralessSource hides that the store was restored.
+type eralessSource struct{ registry.Source }
+
+func (s eralessSource) List(ctx context.Context) (registry.Reading, error) {
+	r, err := s.Source.List(ctx)
+	r.Era = 0
+	return r, err
+}
+
+func (s eralessSource) Watch(ctx context.Context, after uint64, wait time.Duration) (registry.Reading, error) {
+	r, err := s.Source.Watch(ctx, after, wait)
+	r.Era = 0
+	return r, err
+}
+
 // shortSoak runs a soak of about 25 s with four processes. It sets no memory limit
 // because the race detector needs several times the memory.
 func shortSoak(t *testing.T, seed uint64, defect string) *soak.Report {
 	t.Helper()
+	restores := 0
+	if soak.HasStoreFaults(seed) {
+		restores = 1
+	}
 	report, err := soak.Run(t.Context(), soak.Config{
-		Seed: seed, FaultPhase: 6 * time.Second, Zones: 2, DaemonsPerZone: 2, Progress: func(line string) { t.Log(line) },
+		Seed: seed, FaultPhase: 6 * time.Second, Zones: 2, DaemonsPerZone: 2, Restores: restores, Progress: func(line string) { t.Log(line) },
 		Command: func(settings string) (string, []string, []string) {
 			return os.Args[0], nil, []string{entryEnv + "=" + settings, defectEnv + "=" + defect}
 		},
@@ -129,7 +151,7 @@
 // daemons with deliberate defects.
 func TestSoakFindsDefects(t *testing.T) {
 	t.Parallel()
-	for defect, seed := range map[string]uint64{drainIgnored: 1, positionalCookies: 1, itemsLost: 1} {
+	for defect, seed := range map[string]uint64{drainIgnored: 1, positionalCookies: 1, itemsLost: 1, erasIgnored: 2} {
 		t.Run(defect, func(t *testing.T) {
 			t.Parallel()
 			is.New(t).True(!shortSoak(t, seed, defect).OK())
--- a/standin/platform/backend.go
+++ b/standin/platform/backend.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -35,6 +36,7 @@
 	conn       *net.UDPConn
 
 	mu           sync.Mutex
+	writes       uint64 // number of registrations since the start
 	unresponsive bool
 	flows        map[[2]netip.AddrPort]*backendFlow
 	// executed counts the executions of each request.
@@ -91,6 +93,7 @@
 	defer b.mu.Unlock()
 	b.flows = map[[2]netip.AddrPort]*backendFlow{}
 	b.StartMS++
+	b.writes = 0
 }
 
 // Counts returns the number of executed requests, of forged packets, which are malformed
@@ -118,11 +121,32 @@
 // Key returns the key of the server's registration in the store.
 func (b *Backend) Key() string { return "servers/" + b.ID }
 
-// Registration returns the value of the server's registration with the given state.
+// Registration returns the next value of the server's registration with the given state.
 func (b *Backend) Registration(state string) []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.writes++
+	return b.registration(state, b.writes)
+}
+
+// Registered reports whether value is a registration of the server with the given state,
+// whatever its number.
+func (b *Backend) Registered(value []byte, state string) bool {
+	var written struct {
+		Seq uint64 `json:"seq"`
+	}
+	if json.Unmarshal(value, &written) != nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Equal(value, b.registration(state, written.Seq))
+}
+
+func (b *Backend) registration(state string, number uint64) []byte {
 	value, err := json.Marshal(map[string]any{
 		"service": b.Pool, "address": b.Endpoint.String(), "zone": b.Zone, "version": "v1", "slots": 2,
-		"state": state, "cold_remaining_ms": 0, "seq": 1, "born": b.StartMS,
+		"state": state, "cold_remaining_ms": 0, "seq": number, "born": b.StartMS,
 	})
 	if err != nil {
 		panic(err) // cannot happen: the value has only plain types
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -121,6 +121,20 @@
 	return Backup{revision: s.revision, items: maps.Clone(s.items), leases: maps.Clone(s.leases)}
 }
 
+// Keys returns the keys with a prefix.
+func (b Backup) Keys(prefix string) []string {
+	var keys []string
+	for key := range b.items {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// Value returns the value of an item, nil if there is none.
+func (b Backup) Value(key string) []byte { return b.items[key].Value }
+
 // Restore replaces the items and leases by those of a backup. Revisions after that of
 // the backup are assigned again.
 func (s *Store) Restore(b Backup) {
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"knapweedshore.example/internal/directory"
 )
 
 // Limits of a daemon process.
@@ -134,6 +136,7 @@
 // logLine holds the fields of a log line that the soak checks.
 type logLine struct {
 	Event    int     `json:"event"`
+	Era      uint64  `json:"era"`
 	Revision *uint64 `json:"revision"`
 	Version  *uint64 `json:"config_version"`
 }
@@ -143,9 +146,10 @@
 
 // readLog copies the log of a process to a file and checks it: each line must be an
 // event, the rate must not exceed maxLogRate, and the directory must not go back to
-// an older revision or configuration.
+// an earlier position or an older configuration.
 func (m *machine) readLog(out io.Reader, file io.Writer) {
-	var revision, version uint64
+	var position directory.Position
+	version := uint64(0)
 	began, lines := time.Now(), 0
 	for scanner := bufio.NewScanner(out); scanner.Scan(); lines++ {
 		if file != nil {
@@ -159,11 +163,12 @@
 		if line.Event != directoryAppliedEvent || line.Revision == nil || line.Version == nil {
 			continue
 		}
-		if *line.Revision < revision || *line.Version < version {
-			m.checker.addViolation("directory of %s went back from revision %d, configuration version %d to revision %d, configuration version %d",
-				m.name, revision, version, *line.Revision, *line.Version)
+		next := directory.Position{Era: line.Era, Revision: *line.Revision}
+		if position.IsAfter(next) || *line.Version < version {
+			m.checker.addViolation("directory of %s went back from position %s, configuration version %d to position %s, configuration version %d",
+				m.name, position, version, next, *line.Version)
 		}
-		revision, version = *line.Revision, *line.Version
+		position, version = next, *line.Version
 	}
 	if seconds := time.Since(began).Seconds() + 1; float64(lines) > maxLogRate*seconds {
 		m.checker.addViolation("%s logged %d lines in %.0f s", m.name, lines, seconds)
--- a/standin/soak/regressions.go
+++ b/standin/soak/regressions.go
@@ -4,6 +4,8 @@
 type Regression struct {
 	Seed  uint64
 	Cause string
+	// Restores is the number of restores of the store in its schedule.
+	Restores int
 }
 
 const (
@@ -15,16 +17,16 @@
 // Regressions lists all seeds that ever failed with the default number of zones and
 // daemons.
 var Regressions = []Regression{
-	{101, lateCopies},
-	{104, "daemons that started while the registrations were expired refused flows for lack of servers"},
-	{108, lateCopies},
-	{201, staleOpening},
-	{215, staleOpening},
-	{216, "opening packets that were queued for a second in the socket of a daemon without a directory reached a second server"},
-	{225, staleOpening},
-	{227, staleOpening},
-	{238, staleOpening},
-	{240, staleOpening},
-	{406, flappingStore},
-	{418, flappingStore},
+	{Seed: 101, Cause: lateCopies},
+	{Seed: 104, Cause: "daemons that started while the registrations were expired refused flows for lack of servers"},
+	{Seed: 108, Cause: lateCopies},
+	{Seed: 201, Cause: staleOpening},
+	{Seed: 215, Cause: staleOpening},
+	{Seed: 216, Cause: "opening packets that were queued for a second in the socket of a daemon without a directory reached a second server"},
+	{Seed: 225, Cause: staleOpening},
+	{Seed: 227, Cause: staleOpening},
+	{Seed: 238, Cause: staleOpening},
+	{Seed: 240, Cause: staleOpening},
+	{Seed: 406, Cause: flappingStore},
+	{Seed: 418, Cause: flappingStore},
 }
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -45,12 +45,16 @@
 	simultaneousShare = 0.25
 )
 
-// NewSchedule returns the random schedule of a seed. Odd seeds contain no faults of the
-// store as a whole, so that promises with a time limit are checked most of the time.
+// HasStoreFaults reports whether the schedule of a seed has faults of the store as a whole.
+// Half of the seeds have none, so that promises with a time limit are checked most of the
+// time.
+func HasStoreFaults(seed uint64) bool { return seed%2 == 0 }
+
+// NewSchedule returns the random schedule of a seed.
 func NewSchedule(seed uint64, length time.Duration, zones, daemons int) Schedule {
 	random := rand.New(rand.NewPCG(seed, 0x50a4))
 	names := slices.Sorted(maps.Keys(stepKinds))
-	if seed%2 == 1 {
+	if !HasStoreFaults(seed) {
 		names = slices.DeleteFunc(names, func(name string) bool { return stepKinds[name].wholeStore })
 	}
 	total := 0
@@ -80,6 +84,11 @@
 	}
 }
 
+// sortByTime sorts the steps by time, and by number if they begin together.
+func (s Schedule) sortByTime() {
+	slices.SortFunc(s, func(a, b Step) int { return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Number, b.Number)) })
+}
+
 // Select returns the steps with the given numbers, or all steps if numbers is empty.
 func (s Schedule) Select(numbers []int) Schedule {
 	if len(numbers) == 0 {
@@ -120,6 +129,6 @@
 			from = to
 		}
 	}
-	slices.SortFunc(s, func(a, b Step) int { return cmp.Compare(a.Number, b.Number) })
+	s.sortByTime()
 	return s
 }
--- a/standin/soak/schedule_test.go
+++ b/standin/soak/schedule_test.go
@@ -15,13 +15,22 @@
 	is := is.New(t)
 	seenKinds := map[string]bool{}
 	for seed := range uint64(200) {
-		a, b := NewSchedule(seed, 20*time.Second, 3, 2), NewSchedule(seed, 20*time.Second, 3, 2)
+		restores := 0
+		if HasStoreFaults(seed) {
+			restores = 2
+		}
+		newSchedule := func() Schedule {
+			return NewSchedule(seed, 20*time.Second, 3, 2).WithRestores(seed, 20*time.Second, restores)
+		}
+		a, b := newSchedule(), newSchedule()
 		is.Equal(a.String(), b.String())
 		for _, step := range a {
 			is.True(step.Daemon < 6 && step.Zone < 3 && step.Count >= 1 && step.Duration > 0 && step.At < 20*time.Second)
 			is.True(seed%2 == 0 || !stepKinds[step.Kind].wholeStore)
 			seenKinds[step.Kind] = true
 		}
+		others := slices.DeleteFunc(b, func(step Step) bool { return step.Kind == restoreKind })
+		is.Equal(others.String(), NewSchedule(seed, 20*time.Second, 3, 2).String())
 	}
 	is.Equal(len(seenKinds), len(stepKinds)) // every kind occurs
 }
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -63,6 +63,12 @@
 	minReadyServers = 3
 )
 
+// Keys of the store.
+const (
+	configKey     = "op/config"
+	serversPrefix = "servers/"
+)
+
 // site is a running site: daemons in processes of their own, and callers, servers, the
 // store and relays between them in this process.
 type site struct {
@@ -90,6 +96,9 @@
 	lastNumber   uint64 // number of the last server or prober
 	version      int    // version of the last configuration
 	routePresent bool   // whether it has toggledRoute
+	configValue  []byte // its encoded form
+	// registered holds the current registrations by key, whether the store has them or not.
+	registered map[string]*registration
 }
 
 // serverHost is a machine on which one backend server runs at a time.
@@ -110,7 +119,7 @@
 	}
 	s := &site{
 		config: c, dir: dir, network: network, store: platform.NewStore(), linkFaults: newLinkFaults(),
-		router: platform.NewRotation(c.Seed), checker: newChecker(), random: rand.New(rand.NewPCG(c.Seed, 0x51)), lastNumber: 0x51000000,
+		router: platform.NewRotation(c.Seed), checker: newChecker(), random: rand.New(rand.NewPCG(c.Seed, 0x51)), lastNumber: 0x51000000, registered: map[string]*registration{},
 	}
 	s.running, s.stop = context.WithCancel(context.Background())
 	if err := s.build(); err != nil {
@@ -275,7 +284,7 @@
 	backend.Endpoint = s.network.Addr(registeredGroup, byte(host.index+1), serverPort)
 	host.backend, host.ready = backend, true
 	host.backends = append(host.backends, backend)
-	s.store.Put(backend.Key(), backend.Registration("ready"))
+	s.registerLocked(backend, "ready")
 	return nil
 }
 
@@ -341,7 +350,8 @@
 	if err != nil {
 		panic(err) // cannot happen: the value has only plain types
 	}
-	s.store.Put("op/config", value)
+	s.configValue = value
+	s.store.Put(configKey, value)
 	s.checker.recordRouteChange(present)
 }
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -25,6 +25,8 @@
 	// Zones is the number of availability zones, and DaemonsPerZone the number of
 	// daemons in each.
 	Zones, DaemonsPerZone int
+	// Restores is the number of restores of the store from backups.
+	Restores int
 	// Steps lists the numbers of the steps to run. If it is empty, all steps of the
 	// schedule run.
 	Steps []int
@@ -66,7 +68,7 @@
 		return nil, errors.Wrap(err, "create a directory for settings and logs")
 	}
 	defer func() { _ = os.RemoveAll(dir) }() // the logs of a failed run have been copied
-	schedule := NewSchedule(c.Seed, c.FaultPhase, c.Zones, c.DaemonsPerZone).Select(c.Steps)
+	schedule := NewSchedule(c.Seed, c.FaultPhase, c.Zones, c.DaemonsPerZone).WithRestores(c.Seed, c.FaultPhase, c.Restores).Select(c.Steps)
 	s, err := newSite(c, dir)
 	if err != nil {
 		return nil, err
--- a/standin/soak/steps.go
+++ b/standin/soak/steps.go
@@ -45,6 +45,7 @@
 	"restart a server":              {1, restartServer, false},
 	"change the configuration":      {5, changeConfig, false},
 	"change it many times":          {1, changeConfigRepeatedly, false},
+	restoreKind:                     {0, restoreStore, true}, // drawn by WithRestores
 }
 
 // affectedMachines returns count machines, beginning with the step's daemon.
@@ -275,7 +276,7 @@
 	defer s.mu.Unlock()
 	for _, host := range ready {
 		if host.ready {
-			s.store.Put(host.backend.Key(), host.backend.Registration("ready"))
+			s.registerLocked(host.backend, "ready")
 		}
 	}
 }
@@ -326,11 +327,11 @@
 		s.checker.addViolation("start new server: %v", err)
 		return
 	}
-	s.store.Put(old.Key(), old.Registration("draining"))
+	s.register(old, "draining")
 	s.checker.recordDrain(old.Number)
 	wait.For(ctx, drainBound+step.Duration)
 	defer s.checker.impair(serverNode(host.index))()
-	s.store.Delete(old.Key())
+	s.unregister(old)
 	old.Close()
 }
 
@@ -355,7 +356,7 @@
 	old := host.backend
 	old.Close()
 	wait.For(ctx, registrationTTL)
-	s.store.Delete(old.Key())
+	s.unregister(old)
 	wait.For(ctx, addressReuseDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -378,7 +379,7 @@
 	}
 	defer s.checker.impair(serverNode(host.index))()
 	host.backend.Restart()
-	s.store.Put(host.backend.Key(), host.backend.Registration("ready"))
+	s.registerLocked(host.backend, "ready")
 }
 
 // probeMargin is the time between the end of configBound and the probes.
