--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -409,6 +409,7 @@
 		f.Confirm(directory.Position{Revision: 5}, time.Now())
 		is.Equal(f.Age(time.Now()), time.Duration(0))
 		f.Confirm(directory.Position{Revision: 6}, time.Now().Add(time.Hour)) // ignored: the daemon is behind this revision
+		f.Confirm(directory.Position{Era: 1, Revision: 4}, time.Now().Add(time.Hour))
 		time.Sleep(time.Minute)
 		is.Equal(f.Age(time.Now()), time.Minute)
 		is.Equal(s.calls(), 0)
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -230,3 +230,25 @@
 		})
 	}
 }
+
+// Guards against a directory that counts as current because of a peer that has not noticed a restore,
+// or whose build does not tell eras apart.
+func TestPeersOfAnEarlierEraConfirmNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		s.delay = storeDelay
+		s.put("config", "1")
+		s.restore(1)
+		f, stop := startFollower(t, s, fixedRole(false))
+		defer stop()
+		time.Sleep(time.Minute)
+		f.Confirm(directory.Position{Revision: 1}, time.Now())
+		f.Confirm(directory.Position{Revision: 9}, time.Now())
+		is.True(f.Age(time.Now()) > 59*time.Second)
+		f.Merge(Reading{Position: directory.Position{Revision: 9}, Complete: true}, "peer")
+		is.Equal(version(f), uint64(1))
+		f.Confirm(directory.Position{Era: 1, Revision: 1}, time.Now())
+		is.Equal(f.Age(time.Now()), time.Duration(0))
+	})
+}
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -36,12 +36,14 @@
 // Position returns the position up to which all changes are known.
 func (s *State) Position() directory.Position { return s.position }
 
-// Merge applies the items that are newer than the state and returns them, and the number
-// of items that a restored store has lost or replaced by older ones and that are kept. Items up
+// Merge applies the items that are newer than the state and returns them. Items up
 // to the state's own revision are ignored: the state already includes every change
-// up to there, so it lacks such an item only if that was deleted since. Readings of
-// an earlier era are ignored, and incomplete ones of a later era, because revisions of
-// different eras do not compare.
+// up to there, so it lacks such an item only if that was deleted since.
+//
+// Readings of an earlier era are ignored, and incomplete ones of a later era, because
+// revisions of different eras do not compare. A complete one of a later era replaces the
+// items, except those that the restored store has lost or has older values of. Merge returns
+// their number as kept.
 func (s *State) Merge(r Reading, now time.Time) (changed []Item, kept int) {
 	switch {
 	case r.Era < s.position.Era, r.Era > s.position.Era && !r.Complete:
@@ -71,10 +73,8 @@
 	return changed, 0
 }
 
-// enterEra replaces the items by those of a complete reading of a later era, and returns
-// those that now exist or have become tombstones, and the number of known items kept in place of other ones. The store has come back from a copy, so
-// that an item may be older than the known one. That one is kept then, until the next
-// change of the item in the new era.
+// enterEra is Merge for a complete reading of a later era. A known item that is kept stays
+// until the item changes in the new era.
 func (s *State) enterEra(r Reading, now time.Time) (changed []Item, kept int) {
 	old := s.items
 	s.position, s.incompleteUpTo = r.Position, r.Revision
