Call a failing store less often from zones in which many calls fail

Cause: when a watcher fails, the next daemon of its zone takes over, fails, and goes on trying like all before it, first after 50 ms, then after at most 800 ms. Each daemon paced itself as if it were alone.

Change: reports say whether the sender's calls to the store fail. A peer of the zone that fails counts as a failure of one's own for the growth of the pauses, and from four such peers on the pauses get up to three times as long. Any daemon that is answered supplies the others.

The model checks of freshness hold (1,500 examples and the large zones).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -116,7 +116,7 @@
 	f := e.options.Follower
 	return encodeReport(Report{
 		VM: e.options.VM, Zone: e.options.Zone, Start: e.start, Sequence: e.sequence.Add(1),
-		Position: f.Position(), Age: min(maxAge, f.Age(now)), Watching: f.Watching(), Leaving: e.leaving.Load(),
+		Position: f.Position(), Age: min(maxAge, f.Age(now)), Watching: f.Watching(), Leaving: e.leaving.Load(), StoreFailing: f.StoreFailing(),
 		Load: e.options.Placer.Load(now), Watchers: e.options.Table.Watchers(now),
 		Zones: e.options.Table.HeardZones(now),
 	})
--- a/internal/exchange/freshness_test.go
+++ b/internal/exchange/freshness_test.go
@@ -76,6 +76,7 @@
 
 	mu    sync.Mutex
 	state string
+	calls int
 	// broken is closed when the state changes. Watches that are pending then are never
 	// answered.
 	broken chan struct{}
@@ -96,9 +97,17 @@
 	return l.state, l.broken
 }
 
+// startCall counts a call and returns the state and the channel that is closed when it changes.
+func (l *storeLink) startCall() (string, chan struct{}) {
+	l.mu.Lock()
+	l.calls++
+	l.mu.Unlock()
+	return l.current()
+}
+
 func (l *storeLink) Watch(ctx context.Context, after uint64, hold time.Duration) (registry.Reading, error) {
 	timeout := time.After(hold)
-	state, broken := l.current()
+	state, broken := l.startCall()
 	for state == served {
 		reading, changed, err := l.store.since(after)
 		if len(reading.Items) > 0 || err != nil {
@@ -121,7 +130,7 @@
 }
 
 func (l *storeLink) List(ctx context.Context) (registry.Reading, error) {
-	switch state, _ := l.current(); state {
+	switch state, _ := l.startCall(); state {
 	case silent:
 		<-ctx.Done()
 		return registry.Reading{}, registry.ErrUnavailable
@@ -251,7 +260,7 @@
 		d.sequence++
 		report := Report{
 			VM: d.addr.String(), Zone: zoneName(d.zone), Start: 1, Sequence: d.sequence, Position: d.follower.Position(),
-			Age: min(maxAge, d.follower.Age(now)), Watching: d.follower.Watching(), Watchers: d.table.Watchers(now), Zones: d.table.HeardZones(now),
+			Age: min(maxAge, d.follower.Age(now)), Watching: d.follower.Watching(), StoreFailing: d.follower.StoreFailing(), Watchers: d.table.Watchers(now), Zones: d.table.HeardZones(now),
 		}
 		peers := slices.Clone(d.table.NextZoneRound().Peers)
 		peers = append(peers, d.table.NextCrossZoneBatch()...)
@@ -323,60 +332,130 @@
 
 const affectedBits = 12
 
-// runFaults runs a model through faults and returns the first violation, empty for
-// none.
-func runFaults(zones []int, maxChangeDelay time.Duration, faults []fault) string {
-	store := &sharedStore{changed: make(chan struct{})}
-	m := newModel(store, zones, maxChangeDelay)
-	write := func() {
-		m.writtenAt = append(m.writtenAt, time.Now())
-		store.put("config", fmt.Sprint(len(m.writtenAt)))
-	}
-	write()
-	ctx, stop := context.WithCancel(context.Background())
+// region is a model whose daemons run.
+type region struct {
+	*model
+	store *sharedStore
+	stop  func()
+}
+
+// startRegion runs the daemons of a model and lets them read the first configuration.
+func startRegion(m *model) *region {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &region{model: m, store: m.daemons[0].link.store}
+	r.write()
 	var running sync.WaitGroup
 	for _, d := range m.daemons {
 		running.Go(func() { d.follower.Run(ctx, d.table) })
 	}
-	advance := func(d time.Duration) {
-		for until := time.Now().Add(d); time.Now().Before(until) && m.violation == ""; {
-			time.Sleep(100 * time.Millisecond)
-			synctest.Wait()
-			m.round(time.Now())
-			m.check(time.Now())
-		}
+	r.stop = func() { cancel(); running.Wait() }
+	r.advance(2 * time.Second)
+	return r
+}
+
+// write writes the next configuration.
+func (r *region) write() {
+	r.writtenAt = append(r.writtenAt, time.Now())
+	r.store.put("config", fmt.Sprint(len(r.writtenAt)))
+}
+
+// restore restores the store. The operator writes the newest configuration again.
+func (r *region) restore(lost int) {
+	r.store.restore(lost)
+	r.store.put("config", fmt.Sprint(len(r.writtenAt)))
+}
+
+// advance plays the model for a time, or until a bound is violated.
+func (r *region) advance(d time.Duration) {
+	for until := time.Now().Add(d); time.Now().Before(until) && r.violation == ""; {
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		r.round(time.Now())
+		r.check(time.Now())
+	}
+}
+
+// setStates sets how the store treats the calls of all daemons.
+func (r *region) setStates(state string) {
+	for _, d := range r.daemons {
+		d.setState(state)
 	}
-	advance(2 * time.Second)
+}
+
+// setState sets how the store treats the calls of a daemon.
+func (d *modelDaemon) setState(state string) {
+	if before, _ := d.link.current(); before == state {
+		return
+	}
+	d.link.setState(state)
+	d.servedSince = time.Time{}
+	if state == served {
+		d.servedSince = time.Now()
+	}
+}
+
+// runFaults runs a model through faults and returns the first violation, empty for
+// none.
+func runFaults(zones []int, maxChangeDelay time.Duration, faults []fault) string {
+	r := startRegion(newModel(&sharedStore{changed: make(chan struct{})}, zones, maxChangeDelay))
+	defer r.stop()
 	for _, f := range faults {
-		advance(f.After)
-		for i, d := range m.daemons {
-			d.dead = d.dead || i < f.Dead && i < len(m.daemons)-1
+		r.advance(f.After)
+		for i, d := range r.daemons {
+			d.dead = d.dead || i < f.Dead && i < len(r.daemons)-1
 			state := served
 			if f.Affected>>(i%affectedBits)&1 == 1 {
 				state = f.Failure
 			}
-			if before, _ := d.link.current(); before != state {
-				d.link.setState(state)
-				d.servedSince = time.Time{}
-				if state == served {
-					d.servedSince = time.Now()
-				}
-			}
+			d.setState(state)
 		}
-		m.isolatedZone = f.IsolatedZone
+		r.isolatedZone = f.IsolatedZone
 		if f.Lost > 0 {
-			store.restore(f.Lost)
-			store.put("config", fmt.Sprint(len(m.writtenAt)))
+			r.restore(f.Lost)
 		}
 		for _, pause := range f.Writes {
-			advance(pause)
-			write()
+			r.advance(pause)
+			r.write()
 		}
-		advance(recoveryTime + maxChangeDelay)
+		r.advance(recoveryTime + maxChangeDelay)
+	}
+	return r.violation
+}
+
+// Guards against a failing store that each daemon of a large zone calls as often as a daemon
+// without peers, so that the calls grow with the fleet, and against daemons that then notice
+// its return late.
+func TestFleetCallsAFailingStoreRarely(t *testing.T) {
+	const daemonsPerZone, outage, maxCalls = 20, 6 * time.Second, 6
+	for _, failure := range []string{refused, silent} {
+		t.Run(failure, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &sharedStore{changed: make(chan struct{})}
+				r := startRegion(newModel(store, []int{daemonsPerZone, daemonsPerZone}, 3*time.Second))
+				defer r.stop()
+				r.write()
+				r.advance(3 * time.Second)
+				calls := func() (n int) {
+					for _, d := range r.daemons {
+						n += d.link.calls
+					}
+					return n
+				}
+				before := calls()
+				r.setStates(failure)
+				r.advance(outage)
+				if n := calls() - before; n > maxCalls*len(r.daemons) {
+					t.Errorf("%d calls of %d daemons in %s, want at most %d", n, len(r.daemons), outage, maxCalls*len(r.daemons))
+				}
+				r.setStates(served)
+				r.write()
+				r.advance(recoveryTime)
+				if r.violation != "" {
+					t.Error(r.violation)
+				}
+			})
+		})
 	}
-	stop()
-	running.Wait()
-	return m.violation
 }
 
 // Guards against daemons that use an outdated version although the store serves them,
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -28,7 +28,7 @@
 func encodeReport(r Report) ([]byte, error) {
 	m := &peerapi.Report{
 		Vm: r.VM, Zone: r.Zone, Start: r.Start, Sequence: r.Sequence, Era: r.Position.Era, Revision: r.Position.Revision,
-		AgeMs: uint64(r.Age.Milliseconds()), Watching: r.Watching, Leaving: r.Leaving,
+		AgeMs: uint64(r.Age.Milliseconds()), Watching: r.Watching, Leaving: r.Leaving, StoreFailing: r.StoreFailing,
 	}
 	for c, n := range r.Load.InProgress {
 		if len(m.Working) == maxReportedServers {
@@ -74,7 +74,7 @@
 	r := Report{
 		VM: m.Vm, Zone: m.Zone, Start: m.Start, Sequence: m.Sequence,
 		Position: directory.Position{Era: m.Era, Revision: m.Revision},
-		Age:      milliseconds(m.AgeMs), Watching: m.Watching, Leaving: m.Leaving,
+		Age:      milliseconds(m.AgeMs), Watching: m.Watching, Leaving: m.Leaving, StoreFailing: m.StoreFailing,
 		Load:     placement.Load{InProgress: make(map[directory.Cookie]int, len(m.Working))},
 		Watchers: make(map[netip.Addr]time.Duration, len(m.Watchers)),
 		Zones:    make(map[ZoneID]time.Duration, len(m.HeardZones)),
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -82,6 +82,8 @@
 	// Watching reports whether the sender watches the store, Leaving whether it is
 	// about to stop.
 	Watching, Leaving bool
+	// StoreFailing reports whether the sender tries to watch the store and its calls fail.
+	StoreFailing bool
 	// Load is the load of the servers as the sender knows it.
 	Load placement.Load
 	// Watchers holds the age of the last report of each watcher of the sender's zone
--- a/internal/exchange/watching.go
+++ b/internal/exchange/watching.go
@@ -102,6 +102,19 @@
 	return true
 }
 
+// FailingPeers implements registry.WatcherRole. It counts the peers of the own zone.
+func (t *PeerTable) FailingPeers(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, p := range t.peers {
+		if p.zone == t.ownZone && p.lastReport.StoreFailing && now.Sub(p.lastSeen) <= t.maxSilence(p.zone) {
+			n++
+		}
+	}
+	return n
+}
+
 // isWatched reports whether other daemons watch the store for this one.
 func (t *PeerTable) isWatched(now time.Time) bool {
 	coveredZones := map[string]bool{}
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -30,6 +30,11 @@
 	// is available again.
 	initialRetryDelay = 50 * time.Millisecond
 	maxRetryDelay     = 800 * time.Millisecond
+	// peersPerRetryShare is the number of peers with failing calls that lengthen the pauses by
+	// their own length, up to maxRetryShare times. A store that refuses only some daemons
+	// may then serve one 2.4 s before that one tries again.
+	peersPerRetryShare = 4
+	maxRetryShare      = 3
 	// firstWatchWait is how long the store may hold the first watch of a daemon that takes
 	// the watch over. Its answer shows that the watch works.
 	firstWatchWait = 20 * time.Millisecond
@@ -45,6 +50,9 @@
 type WatcherRole interface {
 	// ShouldWatch reports whether this daemon should watch the store now.
 	ShouldWatch(now time.Time) bool
+	// FailingPeers returns the number of other daemons whose calls to the store fail, as
+	// far as they share this daemon's task.
+	FailingPeers(now time.Time) int
 }
 
 // Follower keeps the directory up to date from the store and from peers. It is
@@ -65,6 +73,8 @@
 	// watching is true from the first answer to a watch until a call fails or the
 	// daemon stops watching.
 	watching atomic.Bool
+	// failing is true from a failed call until one succeeds or the daemon stops watching.
+	failing atomic.Bool
 	// start is the time of creation. confirmedAt is the time of the last
 	// confirmation in nanoseconds since start, on the monotonic clock, so that steps
 	// of the wall clock do not change ages.
@@ -143,6 +153,9 @@
 // Watching reports whether this daemon watches the store and its watch is answered.
 func (f *Follower) Watching() bool { return f.watching.Load() }
 
+// StoreFailing reports whether this daemon tries to watch the store and its calls fail.
+func (f *Follower) StoreFailing() bool { return f.failing.Load() }
+
 // Age returns the time since the store last confirmed, directly or through peers,
 // that the directory is the newest one. It is the maximum duration before the
 // first confirmation.
@@ -205,6 +218,7 @@
 		listed := position != lost
 		if listed && !role.ShouldWatch(time.Now()) {
 			f.setWatching(false)
+			f.failing.Store(false)
 			failures = 0
 			wait.For(ctx, roleCheckInterval)
 			continue
@@ -219,6 +233,7 @@
 			return
 		}
 		f.setWatching(listed && err == nil)
+		f.failing.Store(err != nil && !errors.Is(err, ErrHistoryLost))
 		if err == nil {
 			f.logRecovery(failures)
 			failures, lost = 0, directory.Position{}
@@ -233,12 +248,12 @@
 			lost = position
 			losses++
 			if losses > 1 {
-				wait.For(ctx, retryPause(losses))
+				wait.For(ctx, retryPause(losses, 0))
 			}
 			continue
 		}
 		f.source.Close()
-		wait.For(ctx, retryPause(failures))
+		wait.For(ctx, retryPause(failures, role.FailingPeers(time.Now())))
 	}
 }
 
@@ -249,12 +264,15 @@
 	}
 }
 
-// retryPause returns a random pause after a number of failures in a row.
-func retryPause(failures int) time.Duration {
+// retryPause returns a random pause after a number of failures in a row. Peers whose calls
+// fail too count like failures, and if there are many, each daemon takes longer pauses: any of
+// them that is answered supplies the others.
+func retryPause(failures, failingPeers int) time.Duration {
 	p := maxRetryDelay
-	if shift := failures - 1; shift < 5 {
+	if shift := failures - 1 + failingPeers; shift < 5 {
 		p = min(maxRetryDelay, initialRetryDelay<<shift)
 	}
+	p *= time.Duration(1 + min(maxRetryShare-1, failingPeers/peersPerRetryShare))
 	return p/2 + rand.N(p/2)
 }
 
--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -239,6 +239,8 @@
 
 func (r fixedRole) ShouldWatch(time.Time) bool { return bool(r) }
 
+func (fixedRole) FailingPeers(time.Time) int { return 0 }
+
 // recoveryTime is the recovery time after failures in the tests.
 const recoveryTime = 4 * time.Second
 
