--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -247,12 +247,17 @@
 // maxChangeDelay is the time within which changes must be in force in the tests.
 const maxChangeDelay = 3 * time.Second
 
+// newFollower returns a Follower that does not run.
+func newFollower(s Source) *Follower {
+	return NewFollower(Options{
+		Source: s, Decoder: fakeDecoder{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Watch: WatchTimesFor(recoveryTime, maxChangeDelay),
+	})
+}
+
 // startFollower starts a Follower and returns a function that stops it.
 func startFollower(t *testing.T, s Source, role WatcherRole) (f *Follower, stop func()) {
 	t.Helper()
-	f = NewFollower(Options{
-		Source: s, Decoder: fakeDecoder{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Watch: WatchTimesFor(recoveryTime, maxChangeDelay),
-	})
+	f = newFollower(s)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); f.Run(ctx, role) }()
@@ -546,9 +551,7 @@
 		time.Sleep(100 * time.Millisecond)
 		is.Equal(len(old.Current().Candidates("p")), 2)
 
-		starting := NewFollower(Options{
-			Source: s, Decoder: fakeDecoder{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Watch: WatchTimesFor(recoveryTime, maxChangeDelay),
-		})
+		starting := newFollower(s)
 		starting.Merge(old.ChangesSince(directory.Position{}), "peer")
 		is.Equal(len(starting.Current().Candidates("p")), 2)
 		is.True(starting.Current().ByCookie(directory.CookieOf(1)) != nil)
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -10,21 +10,25 @@
 	"github.com/matryer/is"
 
 	"knapweedshore.example/internal/directory"
-	"knapweedshore.example/internal/events"
-	"knapweedshore.example/internal/metrics"
 )
 
 // storeDelay is the time that the store takes to answer in these tests.
 const storeDelay = 4 * time.Millisecond
 
+// playWithStore runs a test with a fake clock and a store that takes storeDelay to answer.
+func playWithStore(t *testing.T, play func(t *testing.T, is *is.I, s *fakeStore)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.delay = storeDelay
+		play(t, is.New(t), s)
+	})
+}
+
 // Guards against changes that are never in force because a restored store assigns revisions again.
 func TestChangesAfterARestoreAreInForce(t *testing.T) {
 	for name, rewritten := range map[string]int{"fewer revisions than before": 0, "as many": 1, "more": 5} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				s := newFakeStore()
-				s.delay = storeDelay
+			playWithStore(t, func(t *testing.T, is *is.I, s *fakeStore) {
 				s.put("config", "1")
 				s.put("s1", "")
 				f, stop := startFollower(t, s, fixedRole(true))
@@ -56,10 +60,7 @@
 
 // Guards against a daemon that lists a restored store again and again without a pause.
 func TestRestoredStoreIsListedOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newFakeStore()
-		s.delay = storeDelay
+	playWithStore(t, func(t *testing.T, is *is.I, s *fakeStore) {
 		s.put("config", "1")
 		s.put("config", "2")
 		_, stop := startFollower(t, s, fixedRole(true))
@@ -75,10 +76,7 @@
 
 // Guards against a flood of listings of a store that does not keep its history until the next watch.
 func TestFollowerListsAStoreWithoutHistoryRarely(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newFakeStore()
-		s.delay = storeDelay
+	playWithStore(t, func(t *testing.T, is *is.I, s *fakeStore) {
 		s.put("config", "1")
 		f, stop := startFollower(t, s, fixedRole(true))
 		defer stop()
@@ -96,10 +94,7 @@
 
 // Guards against a listing for a history that a peer has replaced while the watch was pending.
 func TestHistoryThatAPeerReplacedIsNotListed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newFakeStore()
-		s.delay = storeDelay
+	playWithStore(t, func(t *testing.T, is *is.I, s *fakeStore) {
 		s.put("config", "1")
 		s.put("config", "2")
 		f, stop := startFollower(t, s, fixedRole(true))
@@ -126,10 +121,7 @@
 // Guards against a configuration or a server that a restored store brings back, on daemons that knew
 // better and on those that start afterwards.
 func TestRestoredStoreBringsNothingOutdatedBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newFakeStore()
-		s.delay = storeDelay
+	playWithStore(t, func(t *testing.T, is *is.I, s *fakeStore) {
 		s.put("config", "1")
 		for _, key := range []string{"s1", "s2", "s3", "s4"} {
 			s.put(key, "1")
@@ -152,9 +144,7 @@
 		is.Equal(version(f), uint64(2))
 		is.Equal(poolOf(f), "s3 s4 s5 ") // s5 has yet to register again
 
-		starting := NewFollower(Options{
-			Source: s, Decoder: fakeDecoder{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Watch: WatchTimesFor(recoveryTime, maxChangeDelay),
-		})
+		starting := newFollower(s)
 		starting.Merge(f.ChangesSince(directory.Position{}), "peer")
 		is.Equal(version(starting), uint64(2))
 		is.Equal(poolOf(starting), "s3 s4 s5 ")
@@ -172,10 +162,7 @@
 
 // Guards against daemons without a configuration because the copy was taken before the first one.
 func TestConfigurationSurvivesARestoreToBeforeIt(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newFakeStore()
-		s.delay = storeDelay
+	playWithStore(t, func(t *testing.T, is *is.I, s *fakeStore) {
 		s.put("s1", "1")
 		s.put("config", "1")
 		f, stop := startFollower(t, s, fixedRole(true))
@@ -183,9 +170,7 @@
 		time.Sleep(time.Second)
 		s.restore(1)
 		time.Sleep(time.Second)
-		starting := NewFollower(Options{
-			Source: s, Decoder: fakeDecoder{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Watch: WatchTimesFor(recoveryTime, maxChangeDelay),
-		})
+		starting := newFollower(s)
 		for range 2 { // a complete reading, then one that a listing in the same era has changed
 			starting.Merge(f.ChangesSince(starting.Position()), "peer")
 			is.Equal(version(starting), uint64(1))
@@ -206,10 +191,7 @@
 func TestRegistrationHasTheLeaseThatIsRenewed(t *testing.T) {
 	for name, backup := range map[string]uint64{"registration lost": 1, "registration of an earlier process": 2} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				s := newFakeStore()
-				s.delay = storeDelay
+			playWithStore(t, func(t *testing.T, is *is.I, s *fakeStore) {
 				s.put("config", "1")
 				addr := netip.MustParseAddr("10.0.0.1")
 				is.NoErr(s.Put(t.Context(), vmKey(addr), []byte(`{"name":"old","zone":"a"}`), 99))
@@ -234,10 +216,7 @@
 // Guards against a directory that counts as current because of a peer that has not noticed a restore,
 // or whose build does not tell eras apart.
 func TestPeersOfAnEarlierEraConfirmNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newFakeStore()
-		s.delay = storeDelay
+	playWithStore(t, func(t *testing.T, is *is.I, s *fakeStore) {
 		s.put("config", "1")
 		s.restore(1)
 		f, stop := startFollower(t, s, fixedRole(false))
