Test that messages keep the era, lost registrations and failing calls

The model checks pass reports and readings without encoding them, so that only the soak would have noticed a field that is not sent. Each of four fields left out of the encoding or decoding makes TestMessagesKeepWhatTellsErasApart fail.

--- a/internal/exchange/table_test.go
+++ b/internal/exchange/table_test.go
@@ -498,6 +498,28 @@
 	is.Equal(got, r)
 }
 
+// Guards against messages that lose the era of a position, that a deletion is due to a restore,
+// or that the sender's calls to the store fail.
+func TestMessagesKeepWhatTellsErasApart(t *testing.T) {
+	is := is.New(t)
+	position := directory.Position{Era: 3, Revision: 7}
+	b, err := encodeReport(Report{VM: "vm", Zone: "zone", Start: 1, Position: position, StoreFailing: true})
+	is.NoErr(err)
+	report, err := decodeReport(b)
+	is.NoErr(err)
+	is.Equal(report.Position, position)
+	is.True(report.StoreFailing)
+
+	reading := registry.Reading{Position: position, Complete: true, Items: []registry.Item{
+		{Key: "s", Value: []byte("last"), Revision: 7, Created: 2, Deleted: true, Lost: true, ReadAt: epoch},
+	}}
+	m, err := encodeReading(reading, 0, epoch, newPacker())
+	is.NoErr(err)
+	got, err := decodeReading(m, epoch)
+	is.NoErr(err)
+	is.Equal(got, reading)
+}
+
 // Guards against large values that are sent uncompressed, compressed again for each
 // peer, changed by the compression, or those of another change with the same revision.
 func TestLargeValuesArePackedOnce(t *testing.T) {
