--- /dev/null
+++ b/review/standin/store.go
@@ -0,0 +1,267 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// maxPageItems is the number of items in a page of a listing.
+const maxPageItems = 500
+
+// item is an item of the store or a change of one.
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Created  uint64 `json:"created,omitempty"`
+	Lease    uint64 `json:"lease"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// Store is the platform's metadata store.
+type Store struct {
+	server *http.Server
+	addr   netip.AddrPort
+
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]item
+	history  []item
+	leases   map[uint64]time.Time
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+// NewStore returns an empty store that listens on addr.
+func NewStore(addr netip.AddrPort) (*Store, error) {
+	listener, err := net.Listen("tcp4", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{
+		addr: addr, revision: 10, items: map[string]item{}, leases: map[uint64]time.Time{}, changed: make(chan struct{}),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv-key", s.key)
+	mux.HandleFunc("GET /kv-range", s.list)
+	mux.HandleFunc("GET /kv-watch", s.watch)
+	mux.HandleFunc("POST /kv-txn", s.txn)
+	mux.HandleFunc("POST /kv-lease", s.createLease)
+	mux.HandleFunc("POST /kv-keep/{id}", s.renewLease)
+	s.server = &http.Server{Handler: mux}
+	go func() { _ = s.server.Serve(listener) }()
+	return s, nil
+}
+
+// Close stops the store.
+func (s *Store) Close() { _ = s.server.Close() }
+
+// Put writes an item as the operator or a server does and returns its revision.
+func (s *Store) Put(key string, value any) uint64 {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(key, data, 0)
+}
+
+// Delete removes an item.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+}
+
+func (s *Store) put(key string, value []byte, lease uint64) uint64 {
+	s.revision++
+	i := item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
+	if old, ok := s.items[key]; ok {
+		i.Created = old.Created
+	}
+	s.items[key] = i
+	s.publish(i)
+	return s.revision
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.publish(item{Key: key, Revision: s.revision, Deleted: true})
+}
+
+func (s *Store) publish(i item) {
+	s.history = append(s.history, i)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire removes the items of leases that have run out.
+func (s *Store) expire() {
+	for id, end := range s.leases {
+		if time.Now().Before(end) {
+			continue
+		}
+		delete(s.leases, id)
+		for key, i := range s.items {
+			if i.Lease == id {
+				s.remove(key)
+			}
+		}
+	}
+}
+
+func respond(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Store) key(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[r.URL.Query().Get("key")]
+	if !ok {
+		respond(w, http.StatusNotFound, map[string]uint64{"current_rev": s.revision})
+		return
+	}
+	respond(w, http.StatusOK, struct {
+		item
+		CurrentRev uint64 `json:"current_rev"`
+	}{i, s.revision})
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, r.URL.Query().Get("prefix")) && k > r.URL.Query().Get("after") {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	items := []item{}
+	for _, k := range keys[:min(len(keys), maxPageItems)] {
+		items = append(items, s.items[k])
+	}
+	respond(w, http.StatusOK, map[string]any{"items": items, "has_more": len(keys) > maxPageItems, "current_rev": s.revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	waitMS, _ := strconv.Atoi(q.Get("wait_ms"))
+	timeout := time.After(time.Duration(min(waitMS, 30_000)) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		s.expire()
+		current, changed, events := s.revision, s.changed, []item{}
+		for _, i := range s.history {
+			if i.Revision > after && strings.HasPrefix(i.Key, q.Get("prefix")) {
+				events = append(events, i)
+			}
+		}
+		s.mu.Unlock()
+		if after > current {
+			respond(w, http.StatusGone, map[string]uint64{"current_rev": current})
+			return
+		}
+		if len(events) == 0 {
+			select {
+			case <-changed:
+				continue
+			case <-r.Context().Done():
+				return
+			case <-timeout:
+			}
+		}
+		respond(w, http.StatusOK, map[string]any{"events": events, "current_rev": current})
+		return
+	}
+}
+
+func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Expected []struct {
+			Key      string `json:"key"`
+			Revision uint64 `json:"revision"`
+		} `json:"expected_rev"`
+		Puts   []item   `json:"puts"`
+		Remove []string `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		respond(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, e := range body.Expected {
+		if s.items[e.Key].Revision != e.Revision {
+			respond(w, http.StatusPreconditionFailed, map[string]any{"items": []item{s.items[e.Key]}})
+			return
+		}
+	}
+	for _, p := range body.Puts {
+		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
+			respond(w, http.StatusNotFound, map[string]string{})
+			return
+		}
+		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+			respond(w, http.StatusForbidden, map[string]string{})
+			return
+		}
+	}
+	for _, p := range body.Puts {
+		s.put(p.Key, p.Value, p.Lease)
+	}
+	for _, k := range body.Remove {
+		s.remove(k)
+	}
+	respond(w, http.StatusOK, map[string]uint64{"revision": s.revision})
+}
+
+func (s *Store) createLease(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		TTLMS int64 `json:"ttl_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.TTLMS < 1000 || body.TTLMS > 600_000 {
+		respond(w, http.StatusBadRequest, map[string]string{})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := 70_000 + uint64(len(s.leases)) + s.revision
+	for ; !s.leases[id].IsZero(); id++ {
+	}
+	s.leases[id] = time.Now().Add(time.Duration(body.TTLMS) * time.Millisecond)
+	respond(w, http.StatusOK, map[string]any{"lease": id, "ttl_ms": body.TTLMS})
+}
+
+func (s *Store) renewLease(w http.ResponseWriter, r *http.Request) {
+	var id uint64
+	_, _ = fmt.Sscan(r.PathValue("id"), &id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.leases[id].IsZero() {
+		respond(w, http.StatusNotFound, map[string]string{})
+		return
+	}
+	s.leases[id] = time.Now().Add(10 * time.Minute)
+	respond(w, http.StatusOK, map[string]any{"ttl_ms": 600_000})
+}
