Review case 2: daemons stay on an old configuration after silent store connections

review/2/run.sh silences the open connections to the store once while the operator writes 25 versions of 818 KB in 2 s.

--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -65,7 +65,7 @@
 	s := &Site{Record: record, root: os.Getenv("REVIEW_ROOT"), Trouble: os.Getenv("TROUBLE") != "0"}
 	for i := range 200 {
 		s.network = byte(20 + (os.Getpid()+i)%200)
-		if s.lock, err = net.Listen("tcp4", s.Addr(255, 253, controlPort).String()); err == nil {
+		if s.lock, err = net.Listen("tcp4", s.Addr(255, 254, controlPort).String()); err == nil {
 			break
 		}
 	}
@@ -92,6 +92,9 @@
 func (s *Site) Close() {
 	for _, d := range s.daemons {
 		d.Kill()
+		if dir := os.Getenv("REVIEW_LOGS"); dir != "" {
+			_ = os.WriteFile(filepath.Join(dir, d.Name+".log"), []byte(d.Log()), 0o600)
+		}
 	}
 	for _, c := range s.closers {
 		c()
@@ -142,11 +145,11 @@
 	for _, name := range services {
 		list = append(list, map[string]any{"name": name, "health_path": "/health", "max_connections": 2000, "protocol": "h1", "tls": false})
 	}
-	s.Store.Put("op/config", map[string]any{
+	size := s.Store.Put("op/config", map[string]any{
 		"version": version, "routes": routes, "services": list,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
-	s.Record.Add("operator: configuration %d acknowledged", version)
+	s.Record.Add("operator: configuration %d acknowledged, %d routes, %d bytes", version, len(routes), size)
 }
 
 // Daemon runs the processes of one machine.
@@ -189,6 +192,16 @@
 	return out
 }
 
+// AddProxy starts a proxy before the store.
+func (s *Site) AddProxy(number byte) (*Proxy, netip.AddrPort, error) {
+	addr := s.Addr(201, number, storePort)
+	p, err := NewProxy(addr, s.StoreAddr())
+	if err == nil {
+		s.closers = append(s.closers, p.Close)
+	}
+	return p, addr, err
+}
+
 // StoreAddr is the address of the store.
 func (s *Site) StoreAddr() netip.AddrPort { return s.Addr(200, 1, storePort) }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -13,8 +13,13 @@
 	"time"
 )
 
-// maxPageItems is the number of items in a page of a listing.
-const maxPageItems = 500
+const (
+	// maxPageItems is the number of items in a page of a listing.
+	maxPageItems = 500
+	// maxValueBytes is the largest value, history how long changes are kept.
+	maxValueBytes = 1 << 20
+	history       = 20 * time.Second
+)
 
 // item is an item of the store or a change of one.
 type item struct {
@@ -26,6 +31,11 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
+type event struct {
+	item
+	at time.Time
+}
+
 // Store is the platform's metadata store.
 type Store struct {
 	server *http.Server
@@ -34,8 +44,10 @@
 	mu       sync.Mutex
 	revision uint64
 	items    map[string]item
-	history  []item
-	leases   map[uint64]time.Time
+	events   []event // the changes of the last history
+	// dropped is the revision up to which changes are no longer kept.
+	dropped uint64
+	leases  map[uint64]time.Time
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -64,15 +76,20 @@
 // Close stops the store.
 func (s *Store) Close() { _ = s.server.Close() }
 
-// Put writes an item as the operator or a server does and returns its revision.
-func (s *Store) Put(key string, value any) uint64 {
+// Put writes an item as the operator or a server does and returns the size of its value in
+// bytes.
+func (s *Store) Put(key string, value any) int {
 	data, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.put(key, data, 0)
+	if len(data) > maxValueBytes {
+		panic("value is larger than the store accepts")
+	}
+	s.put(key, data, 0)
+	return len(data)
 }
 
 // Delete removes an item.
@@ -103,13 +120,17 @@
 }
 
 func (s *Store) publish(i item) {
-	s.history = append(s.history, i)
+	s.events = append(s.events, event{i, time.Now()})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// expire removes the items of leases that have run out.
+// expire removes the items of leases that have run out, and changes that are too old.
 func (s *Store) expire() {
+	for len(s.events) > 0 && time.Since(s.events[0].at) > history {
+		s.dropped = s.events[0].Revision
+		s.events = s.events[1:]
+	}
 	for id, end := range s.leases {
 		if time.Now().Before(end) {
 			continue
@@ -169,14 +190,14 @@
 	for {
 		s.mu.Lock()
 		s.expire()
-		current, changed, events := s.revision, s.changed, []item{}
-		for _, i := range s.history {
-			if i.Revision > after && strings.HasPrefix(i.Key, q.Get("prefix")) {
-				events = append(events, i)
+		current, dropped, changed, events := s.revision, s.dropped, s.changed, []item{}
+		for _, e := range s.events {
+			if e.Revision > after && strings.HasPrefix(e.Key, q.Get("prefix")) {
+				events = append(events, e.item)
 			}
 		}
 		s.mu.Unlock()
-		if after > current {
+		if after > current || after < dropped {
 			respond(w, http.StatusGone, map[string]uint64{"current_rev": current})
 			return
 		}
