--- a/review/cmd/case2/main.go
+++ b/review/cmd/case2/main.go
@@ -12,10 +12,12 @@
 
 const (
 	// idleRoutes is the number of routes without traffic in each configuration.
-	idleRoutes = 5000
+	idleRoutes = 3500
 	// stormTime and stormGap are those of config_storm on a standard day.
 	stormTime = 2 * time.Second
 	stormGap  = 80 * time.Millisecond
+	// silenceAfter is the number of versions after which the connections go silent.
+	silenceAfter = 5
 	// probeTime is how long the dropped route is probed, and probeGap the time between
 	// two probes.
 	probeTime = 25 * time.Second
@@ -76,13 +78,19 @@
 		}
 	}
 
-	silencedAt := time.Now()
-	if s.Trouble {
-		proxy.Silence()
-		s.Record.Add("open connections to the store go SILENT, new ones work")
-	}
-	for begin := time.Now(); time.Since(begin) < stormTime; time.Sleep(stormGap) {
+	var silencedAt time.Time
+	ticker := time.NewTicker(stormGap)
+	defer ticker.Stop()
+	for n := range int(stormTime / stormGap) {
+		if n == silenceAfter {
+			silencedAt = time.Now()
+			if s.Trouble {
+				proxy.Silence()
+				s.Record.Add("open connections to the store go SILENT, new ones work")
+			}
+		}
 		configure(true)
+		<-ticker.C
 	}
 	configure(false)
 	ackedAt := time.Now()
