--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -13,9 +13,10 @@
 	listener net.Listener
 	to       string
 
-	mu     sync.Mutex
-	silent *atomic.Bool // of the connections opened since the last Silence
-	open   map[net.Conn]bool
+	mu      sync.Mutex
+	silent  *atomic.Bool // of the connections opened since the last Silence
+	refused bool
+	open    map[net.Conn]bool
 }
 
 // NewProxy listens on addr and forwards to another address.
@@ -37,6 +38,27 @@
 	p.silent = new(atomic.Bool)
 }
 
+// Refuse resets all open connections and, until it is called with false, new ones.
+func (p *Proxy) Refuse(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused = on
+	if on {
+		for c := range p.open {
+			reset(c)
+		}
+		p.open = map[net.Conn]bool{}
+	}
+}
+
+// reset closes a connection with a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Close closes the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -53,6 +75,13 @@
 		if err != nil {
 			return
 		}
+		p.mu.Lock()
+		refused := p.refused
+		p.mu.Unlock()
+		if refused {
+			reset(in)
+			continue
+		}
 		out, err := net.Dial("tcp4", p.to)
 		if err != nil {
 			_ = in.Close()
--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -134,3 +134,10 @@
 	v ^= v >> 33
 	return v
 }
+
+// Direct is a Picker that sends all packets to one daemon, as the flows that test which
+// configuration a daemon has.
+type Direct netip.AddrPort
+
+// Pick implements Picker.
+func (d Direct) Pick(_, _ netip.AddrPort) netip.AddrPort { return netip.AddrPort(d) }
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -126,6 +126,15 @@
 	return c, err
 }
 
+// AddDirectConsumer starts a consumer whose flows all go to one machine.
+func (s *Site) AddDirectConsumer(number byte, d *Daemon) (*Consumer, error) {
+	c, err := NewConsumer(s.Record, s.Addr(65, number, dataPort), Direct(s.Addr(1, d.number, dataPort)))
+	if err == nil {
+		s.closers = append(s.closers, c.Close)
+	}
+	return c, err
+}
+
 // Service returns the address of route number n.
 func (s *Site) Service(n byte) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, n}), 443)
