--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -55,8 +55,12 @@
 	if err != nil {
 		return nil, err
 	}
+	digits := 8
+	if number>>32 != 0 {
+		digits = 10
+	}
 	s := &Server{
-		ID: fmt.Sprintf("i-%08x", number), Number: number, Service: service, Zone: zone, Addr: addr, record: r, conn: conn,
+		ID: fmt.Sprintf("i-%0*x", digits, number), Number: number, Service: service, Zone: zone, Addr: addr, record: r, conn: conn,
 		answerPort: answerPort, started: time.Now().UnixMilli(), flows: map[flowID]*serverFlow{},
 	}
 	go s.run()
