--- a/review/cmd/case2/main.go
+++ b/review/cmd/case2/main.go
@@ -110,7 +110,7 @@
 	var out []map[string]any
 	for i := range idleRoutes {
 		r := s.Route(1, "desk", "safe")
-		r["name"], r["host"] = fmt.Sprintf("r-idle%04d", i), fmt.Sprintf("198.19.%d.%d", i/250, 1+i%250)
+		r["name"], r["host"] = fmt.Sprintf("r-idle%04d", i), s.Addr(byte(210+i/250), byte(1+i%250), 0).Addr().String()
 		out = append(out, r)
 	}
 	return out
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -87,15 +87,28 @@
 			_ = in.Close()
 			continue
 		}
-		p.mu.Lock()
-		silent := p.silent
-		p.open[in], p.open[out] = true, true
-		p.mu.Unlock()
+		silent, ok := p.add(in, out)
+		if !ok {
+			reset(in)
+			_ = out.Close()
+			continue
+		}
 		go copyUntilSilent(in, out, silent)
 		go copyUntilSilent(out, in, silent)
 	}
 }
 
+// add adds the two ends of a connection, unless connections are refused meanwhile.
+func (p *Proxy) add(in, out net.Conn) (silent *atomic.Bool, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refused {
+		return nil, false
+	}
+	p.open[in], p.open[out] = true, true
+	return p.silent, true
+}
+
 // copyUntilSilent copies one direction. On a silent connection it reads and drops, so that
 // neither a byte nor the end of the connection passes.
 func copyUntilSilent(to, from net.Conn, silent *atomic.Bool) {
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -135,9 +135,10 @@
 	return c, err
 }
 
-// Service returns the address of route number n.
+// Service returns the address of route number n. Nothing is sent to it: it stands in packets
+// and in the configuration only.
 func (s *Site) Service(n byte) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, n}), 443)
+	return s.Addr(250, n, 443)
 }
 
 // Route returns a route to a service as the operator writes it.
