--- a/review/cmd/case1/main.go
+++ b/review/cmd/case1/main.go
@@ -61,7 +61,7 @@
 		})
 	}
 	all.Wait()
-	s.Record.Add("flows: %d, failed: %d, reset while open at another server: %d", flows, failed.Load(), broken.Load())
+	s.Record.Add("flows: %d, failed: %d, reset while open at another server: %d; datagrams of the consumer: %d", flows, failed.Load(), broken.Load(), consumer.Datagrams.Load())
 	if failed.Load() > broken.Load() {
 		return 0, fmt.Errorf("%d flows failed otherwise", failed.Load()-broken.Load())
 	}
--- a/review/cmd/case3/main.go
+++ b/review/cmd/case3/main.go
@@ -23,10 +23,10 @@
 	pause    = 2500 * time.Millisecond
 	requests = 5
 	daemons  = 3
-	// rollDelay is how long after the first flow the restarts begin, rollGap the time
-	// between two, and startDelay the platform's delay before a new process starts.
+	// rollDelay is how long after the first flow the restarts begin, rollGap the shortest
+	// time between two, and startDelay the platform's delay before a new process starts.
 	rollDelay  = 3 * time.Second
-	rollGap    = 1300 * time.Millisecond
+	rollGap    = 2 * time.Second
 	startDelay = 300 * time.Millisecond
 )
 
@@ -72,6 +72,7 @@
 	}
 	time.Sleep(rollDelay)
 	for _, d := range machines {
+		next := time.Now().Add(rollGap)
 		d.Signal(syscall.SIGTERM)
 		if !d.Wait(standin.GracePeriod) {
 			return 0, fmt.Errorf("%s outlived its grace period", d.Name)
@@ -80,10 +81,10 @@
 		if err := d.Start(); err != nil {
 			return 0, err
 		}
-		time.Sleep(rollGap)
+		time.Sleep(time.Until(next))
 	}
 	all.Wait()
-	s.Record.Add("flows: %d, failed: %d, reset while open at another server: %d", flows, failed.Load(), broken.Load())
+	s.Record.Add("flows: %d, failed: %d, reset while open at another server: %d; datagrams of the consumer: %d", flows, failed.Load(), broken.Load(), consumer.Datagrams.Load())
 	if failed.Load() > broken.Load() {
 		return 0, fmt.Errorf("%d flows failed otherwise", failed.Load()-broken.Load())
 	}
--- a/review/cmd/case4/main.go
+++ b/review/cmd/case4/main.go
@@ -28,9 +28,9 @@
 	frozen  = 1
 	// freezeTime is how long a machine is frozen. The store begins to turn
 	// machines away refusedAfter later, for refusedTime.
-	freezeTime   = 4 * time.Second
+	freezeTime   = 3900 * time.Millisecond
 	refusedAfter = 2100 * time.Millisecond
-	refusedTime  = 9 * time.Second
+	refusedTime  = 8900 * time.Millisecond
 	// spreadTime is how long a change needs to reach all machines.
 	spreadTime = 150 * time.Millisecond
 	// probeTime is how long the dropped route is probed after its bound.
@@ -79,17 +79,17 @@
 		for _, p := range proxies[:refused] {
 			p.Refuse(true)
 		}
+		time.AfterFunc(refusedTime, func() {
+			for _, p := range proxies[:refused] {
+				p.Refuse(false)
+			}
+		})
 		s.Record.Add("the store TURNS AWAY %s, %s and %s", machines[0].Name, machines[1].Name, machines[2].Name)
 	}
 	time.Sleep(spreadTime)
 	s.Configure(13, []string{"desk"}, both[0])
 	ackedAt := time.Now()
 	s.Record.Add("operator: route %d is dropped", dropped)
-	time.AfterFunc(refusedTime, func() {
-		for _, p := range proxies[:refused] {
-			p.Refuse(false)
-		}
-	})
 	time.Sleep(time.Until(begin.Add(freezeTime)))
 	if freeze {
 		machines[frozen].Signal(syscall.SIGCONT)
--- a/review/cmd/case5/main.go
+++ b/review/cmd/case5/main.go
@@ -21,7 +21,7 @@
 	zones, perZone = 2, 3
 	// outage is how long the store is down, and returnGap the time between two servers
 	// that register again. All are back within 2 s.
-	outage    = 4500 * time.Millisecond
+	outage    = 4400 * time.Millisecond
 	returnGap = 250 * time.Millisecond
 	// pause is the time between the two requests of a flow, which includes the outage,
 	// the return of the servers and the time after which all machines are in touch.
--- a/review/standin/consumer.go
+++ b/review/standin/consumer.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -39,6 +40,8 @@
 	record *Record
 	// Lose, if set, reports whether an arriving datagram is lost on its way.
 	Lose func(p Packet, from netip.AddrPort) bool
+	// Datagrams counts those sent and those that arrived or were lost on their way.
+	Datagrams atomic.Int64
 
 	mu    sync.Mutex
 	port  uint16
@@ -90,6 +93,7 @@
 			c.record.Add("consumer %s gets bytes that are no packet from %s", c.addr, from)
 			continue
 		}
+		c.Datagrams.Add(1)
 		if c.Lose != nil && c.Lose(p, from) {
 			c.record.Add("LOST on the way: a datagram of %s for flow %s, flags %d", from, p.Dst, p.Flags)
 			continue
@@ -145,6 +149,7 @@
 	if p.Flags&SYN != 0 {
 		p.Echo = 0
 	}
+	f.consumer.Datagrams.Add(1)
 	_, _ = f.consumer.conn.WriteToUDPAddrPort(p.Encode(), f.consumer.router.Pick(f.Addr, f.service))
 }
 
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -14,9 +14,9 @@
 	start time.Time
 }
 
-// NewRecord creates the file at path.
+// NewRecord appends to the file at path.
 func NewRecord(path string) (*Record, error) {
-	f, err := os.Create(path)
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	return &Record{file: f, start: time.Now()}, err
 }
 
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -55,10 +55,10 @@
 	closers []func()
 }
 
-// NewSite claims a loopback network and starts a store and a router. The record is written
-// to record.txt in the directory in REVIEW_CASE; the repository is in REVIEW_ROOT.
+// NewSite claims a loopback network and starts a store and a router. The record goes to the
+// file in REVIEW_RECORD; the repository is in REVIEW_ROOT.
 func NewSite() (*Site, error) {
-	record, err := NewRecord(filepath.Join(os.Getenv("REVIEW_CASE"), "record.txt"))
+	record, err := NewRecord(os.Getenv("REVIEW_RECORD"))
 	if err != nil {
 		return nil, err
 	}
@@ -75,7 +75,7 @@
 	if s.dir, err = os.MkdirTemp("", "review"); err != nil {
 		return nil, err
 	}
-	if s.Store, err = NewStore(s.Addr(200, 1, storePort)); err != nil {
+	if s.Store, err = NewStore(record, s.Addr(200, 1, storePort)); err != nil {
 		return nil, err
 	}
 	s.Router = NewRouter(record)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -18,7 +19,9 @@
 	maxPageItems = 500
 	// maxValueBytes is the largest value, history how long changes are kept.
 	maxValueBytes = 1 << 20
-	history       = 20 * time.Second
+	// largeAnswer is the size in bytes from which an answer to a watch is recorded.
+	largeAnswer = 4 << 20
+	history     = 20 * time.Second
 )
 
 // item is an item of the store or a change of one.
@@ -38,6 +41,7 @@
 
 // Store is the platform's metadata store.
 type Store struct {
+	record *Record
 	server *http.Server
 	addr   netip.AddrPort
 
@@ -53,13 +57,13 @@
 }
 
 // NewStore returns an empty store that listens on addr.
-func NewStore(addr netip.AddrPort) (*Store, error) {
+func NewStore(record *Record, addr netip.AddrPort) (*Store, error) {
 	listener, err := net.Listen("tcp4", addr.String())
 	if err != nil {
 		return nil, err
 	}
 	s := &Store{
-		addr: addr, revision: 10, items: map[string]item{}, leases: map[uint64]time.Time{}, changed: make(chan struct{}),
+		record: record, addr: addr, revision: 10, items: map[string]item{}, leases: map[uint64]time.Time{}, changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.key)
@@ -210,6 +214,13 @@
 			case <-timeout:
 			}
 		}
+		size := 0
+		for _, e := range events {
+			size += base64.StdEncoding.EncodedLen(len(e.Value))
+		}
+		if size > largeAnswer {
+			s.record.Add("store: the answer to a watch after revision %d has %d changes, %d bytes of values in base64", after, len(events), size)
+		}
 		respond(w, http.StatusOK, map[string]any{"events": events, "current_rev": current})
 		return
 	}
