Keep the record of a flow that two servers may have accepted

Cause: a copy of an opening packet goes to a second server when the first has not been heard of. Both may accept, and the second one repeats its SYN+ACK for about 10 s, so that the caller echoes its cookie. The daemon knew the server from its record of the flow, but deleted that record 3 s after the flow's last packet and then trusted the cookie.

Change: the record of a flow whose opening packet went to two servers, or of which this daemon saw only a copy, is kept for the lifetime of a flow. An opening packet on a record that has been idle for longer than callers try to open a flow starts a new flow; otherwise the longer record would send a reused port to the server of its previous flow. That also closes the case of a reused port whose first opening packet is lost.

--- a/internal/cookie/bench_test.go
+++ b/internal/cookie/bench_test.go
@@ -44,7 +44,10 @@
 		b.Apply([]directory.Change{{Server: server(uint64(i+1), fmt.Sprintf("10.0.%d.%d:80", i/250, i%250))}}, directory.Position{Revision: 1}, epoch)
 	}
 	t := &staticDirectory{current: b.Build()}
-	return NewEngine(benchCodec{}, t, placement.New("a", 1), metrics.NewRegistry(), events.Discard()), t
+	return NewEngine(Options{
+		Codec: benchCodec{}, Directories: t, Placer: placement.New("a", 1), FlowLifetime: time.Minute,
+		Metrics: metrics.NewRegistry(), Log: events.Discard(),
+	}), t
 }
 
 func BenchmarkOpen(b *testing.B) {
--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -35,6 +35,8 @@
 	placer      *placement.Placer
 	metrics     *metrics.Registry
 	log         *events.Logger
+	// flowLifetime is the maximum lifetime of a flow.
+	flowLifetime time.Duration
 
 	mu    sync.Mutex
 	flows map[flowKey]*flow
@@ -42,9 +44,23 @@
 	lastPacketAt time.Time
 }
 
+// Options configures an Engine.
+type Options struct {
+	Codec       Codec
+	Directories DirectorySource
+	Placer      *placement.Placer
+	// FlowLifetime is the maximum lifetime of a flow.
+	FlowLifetime time.Duration
+	Metrics      *metrics.Registry
+	Log          *events.Logger
+}
+
 // NewEngine returns an Engine without flows.
-func NewEngine(codec Codec, directories DirectorySource, placer *placement.Placer, m *metrics.Registry, log *events.Logger) *Engine {
-	return &Engine{codec: codec, directories: directories, placer: placer, metrics: m, log: log, flows: map[flowKey]*flow{}}
+func NewEngine(o Options) *Engine {
+	return &Engine{
+		codec: o.Codec, directories: o.Directories, placer: o.Placer, flowLifetime: o.FlowLifetime, metrics: o.Metrics, log: o.Log,
+		flows: map[flowKey]*flow{},
+	}
 }
 
 // IdleTime returns the time since the last packet arrived.
@@ -124,9 +140,9 @@
 func (e *Engine) open(d *directory.Directory, p Packet, now time.Time) (*directory.Server, *refusal) {
 	key := flowKey{p.Caller, p.Service}
 	f := e.flows[key]
-	if f != nil && f.ended && p.Retransmits == 0 {
-		f = nil // the caller reuses the port for a new flow
-		delete(e.flows, key)
+	if f != nil && f.isReusedBy(p, now) {
+		e.forget(key, f)
+		f = nil
 	}
 	if f != nil && f.established {
 		// A late retransmission: the flow's server has already accepted it.
@@ -169,6 +185,8 @@
 		e.placer.Abandon(ticket)
 		return server, nil
 	}
+	// Another daemon may have forwarded an earlier copy to another server.
+	f.contested = f.contested || p.Retransmits > 0 && f.server != server
 	f.server, f.route, f.ticket, f.lastSeen, f.placedAt = server, route, ticket, now, now
 	return server, nil
 }
@@ -226,7 +244,7 @@
 	f.established = true
 	if p.Cookie != 0 && p.Cookie != f.server.Cookie {
 		if s := d.ByCookie(p.Cookie); s != nil {
-			f.server = s
+			f.server, f.contested = s, true
 		}
 	}
 	if f.ticket == nil {
@@ -249,8 +267,7 @@
 	switch {
 	case f.ticket == nil:
 	case p.Aborts:
-		e.placer.Abandon(f.ticket)
-		f.ticket = nil
+		e.abandonRequest(f)
 	case p.PayloadLen > 0 && !f.requested:
 		f.requested, f.requestAck, f.requestedAt = true, p.Ack, now
 		e.placer.MarkRequestSent(f.ticket, now)
@@ -266,17 +283,31 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for key, f := range e.flows {
-		if !f.expired(now) {
-			continue
-		}
-		if f.ticket != nil {
-			e.placer.Abandon(f.ticket)
+		overdue := f.isAnswerOverdue(now)
+		if overdue {
+			e.abandonRequest(f)
 			e.metrics.Count(metrics.FlowsUnanswered, 1)
 			e.log.Log(events.FlowUnanswered, zap.Stringer("caller", key.caller), zap.Stringer("service", key.service),
 				zap.String("server", f.server.Name), zap.Bool("accepted", f.established), zap.Bool("asked", f.requested),
 				zap.Duration("silent_for", now.Sub(f.lastSeen)))
 		}
-		delete(e.flows, key)
+		if overdue && !f.contested || f.ticket == nil && f.expired(now, e.flowLifetime) {
+			delete(e.flows, key)
+		}
+	}
+}
+
+// forget deletes the record of a flow.
+func (e *Engine) forget(key flowKey, f *flow) {
+	e.abandonRequest(f)
+	delete(e.flows, key)
+}
+
+// abandonRequest closes the ticket of a flow, if it has one.
+func (e *Engine) abandonRequest(f *flow) {
+	if f.ticket != nil {
+		e.placer.Abandon(f.ticket)
+		f.ticket = nil
 	}
 }
 
--- a/internal/cookie/engine_test.go
+++ b/internal/cookie/engine_test.go
@@ -68,7 +68,10 @@
 
 func newHarness(t *testing.T) *harness {
 	h := &harness{is: is.New(t), builder: directory.NewBuilder(), directories: &staticDirectory{}, metrics: metrics.NewRegistry(), now: epoch}
-	h.engine = NewEngine(jsonCodec{}, h.directories, placement.New("a", 1), h.metrics, events.Discard())
+	h.engine = NewEngine(Options{
+		Codec: jsonCodec{}, Directories: h.directories, Placer: placement.New("a", 1), FlowLifetime: time.Minute,
+		Metrics: h.metrics, Log: events.Discard(),
+	})
 	h.apply(
 		directory.Change{Config: &directory.Config{Version: 1, Routes: []directory.Route{{
 			Name: "r", Address: service, Shares: []directory.Share{{Pool: "p", Weight: 1}}, Timeout: 2 * time.Second,
@@ -151,6 +154,54 @@
 	h.is.Equal(v.To, h.directories.endpoint(first))
 }
 
+// Guards against an idle flow that moves to a server which has accepted a copy of its
+// opening packet and repeats its SYN+ACK: the caller echoes that server's cookie (review
+// case 1).
+func TestSecondAnswerDoesNotMoveAnIdleFlow(t *testing.T) {
+	h := newHarness(t)
+	first := h.open(0)
+	h.now = h.now.Add(200 * time.Millisecond)
+	second := h.open(1)
+	h.send(Packet{Cookie: first})
+	h.send(Packet{Cookie: first, PayloadLen: 10})
+	for range 3 {
+		h.now = h.now.Add(15 * time.Second)
+		h.engine.Expire(h.now)
+		v := h.send(Packet{Cookie: second, PayloadLen: 10})
+		h.is.Equal(v.To, h.directories.endpoint(first))
+	}
+	h.now = h.now.Add(15*time.Second + time.Millisecond)
+	h.engine.Expire(h.now)
+	h.is.Equal(h.engine.FlowCount(), 0) // the flow has reached its maximum lifetime
+}
+
+// Guards against the same move where the record begins with a copy of the opening packet,
+// because another daemon forwarded the original.
+func TestCopyOfAnUnknownFlowMayHaveBeenAccepted(t *testing.T) {
+	h := newHarness(t)
+	opened := h.open(1)
+	h.send(Packet{Cookie: opened, PayloadLen: 10})
+	h.now = h.now.Add(15 * time.Second)
+	h.engine.Expire(h.now)
+	v := h.send(Packet{Cookie: 3 - opened, PayloadLen: 10})
+	h.is.Equal(v.To, h.directories.endpoint(opened))
+}
+
+// Guards against a new flow that goes to the server of an earlier one from the same port,
+// which ended without a packet from the caller, or whose first opening packet was lost.
+func TestReusedCallerPortOfASilentFlow(t *testing.T) {
+	h := newHarness(t)
+	first := h.open(0)
+	h.now = h.now.Add(200 * time.Millisecond)
+	h.open(1)
+	h.send(Packet{Cookie: first, PayloadLen: 10})
+	draining := server(uint64(first), h.directories.current.ByCookie(first).Endpoint.String())
+	draining.Draining = true
+	h.apply(directory.Change{Server: draining})
+	h.now = h.now.Add(openTimeout + time.Millisecond)
+	h.is.True(h.open(1) != first)
+}
+
 // Guards against a new flow on a reused caller port that goes to the server of
 // the previous flow although that server is draining.
 func TestReusedCallerPort(t *testing.T) {
--- a/internal/cookie/flows.go
+++ b/internal/cookie/flows.go
@@ -23,6 +23,9 @@
 	established bool
 	// ended is set once the caller has sent its last packet or a reset.
 	ended bool
+	// contested is set if a second server may have accepted the flow. That server repeats
+	// its SYN+ACK for some seconds, and the caller then echoes its cookie.
+	contested bool
 	// requestAck is the acknowledgement number in the caller's request, valid
 	// if requested is set.
 	requestAck                      uint32
@@ -40,25 +43,42 @@
 	// openTimeout bounds the time to establish a flow. Callers give up after
 	// 1.4 s.
 	openTimeout = 1500 * time.Millisecond
-	// endedFlowTTL is how long the record of a finished flow is kept for late
-	// packets.
+	// endedFlowTTL is how long the record of a finished or idle flow is kept for late
+	// packets. After it, the cookie alone identifies the server.
 	endedFlowTTL = 3 * time.Second
 	// defaultTimeout is the request timeout of routes that set none.
 	defaultTimeout = 10 * time.Second
 )
 
-// expired reports whether the record can be deleted.
-func (f *flow) expired(now time.Time) bool {
+// isReusedBy reports whether an opening packet belongs to a new flow from the port of this
+// one. Callers give up an opening within openTimeout, so a copy that comes later cannot be
+// a retransmission.
+func (f *flow) isReusedBy(p Packet, now time.Time) bool {
+	return f.ended && p.Retransmits == 0 || now.Sub(f.lastSeen) > openTimeout
+}
+
+// isAnswerOverdue reports whether the flow's ticket has been open for too long.
+func (f *flow) isAnswerOverdue(now time.Time) bool {
 	idle := now.Sub(f.lastSeen)
 	switch {
 	case f.ticket == nil:
-		return idle > endedFlowTTL
+		return false
 	case !f.established:
 		return idle > openTimeout
 	}
 	return idle > f.timeout()
 }
 
+// expired reports whether the record of a flow without a ticket can be deleted. The record
+// of a contested flow is kept for as long as the flow may be open, since the caller's
+// cookie may be that of the wrong server.
+func (f *flow) expired(now time.Time, lifetime time.Duration) bool {
+	if f.contested && f.established && !f.ended {
+		return now.Sub(f.openedAt) > lifetime
+	}
+	return now.Sub(f.lastSeen) > endedFlowTTL
+}
+
 func (f *flow) timeout() time.Duration {
 	if f.route == nil || f.route.Timeout <= 0 {
 		return defaultTimeout
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -91,7 +91,9 @@
 		Keep:     directory.RetentionFor(o.Settings.DrainTime, o.Settings.FlowLifetime),
 		Prefetch: func(ctx context.Context) bool { return d.exchange.Prefetch(ctx) },
 	})
-	d.engine = cookie.NewEngine(o.Codec, d.follower, d.placer, o.Metrics, o.Log)
+	d.engine = cookie.NewEngine(cookie.Options{
+		Codec: o.Codec, Directories: d.follower, Placer: d.placer, FlowLifetime: o.Settings.FlowLifetime, Metrics: o.Metrics, Log: o.Log,
+	})
 	d.table = exchange.NewPeerTable(exchange.PeerTableOptions{
 		Self: o.Settings.Peer.Addr(), Zone: o.Settings.Zone, Seeds: addrs(o.Settings.Seeds), MaxAge: watch.MaxAge(),
 		OwnState: func(now time.Time) (directory.Position, time.Duration) {
