Tell a second server that accepted a flow the cookie of the flow's server

The server that does not have the flow repeats its SYN+ACK with its own cookie, and an idle caller echoes it. Only the daemon that saw the flow open knows better. With the next packet through another daemon, or through the next process of the same one, the wrong server gets the packet.

Ruled out: a hand-over that comes too late; there is none, and a crash would not wait for one.

Change: once the flow's server is known, the daemon sends the other server the caller's opening packet again with the cookie of the flow's server. A server answers with the last cookie that it received on a flow, so the SYN+ACKs that follow no longer change the caller's cookie, and any daemon finds the server without a record. The packet goes only to a process that still takes new flows, since others would reset the flow or must not get opening packets, and again if the caller echoes the wrong cookie later.

--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,6 +79,15 @@
 	Bytes []byte
 	// Reset is set if Bytes is a reset for the caller.
 	Reset bool
+	// Corrections are further packets to send, to servers that may have accepted the
+	// flow without being the flow's server.
+	Corrections []Datagram
+}
+
+// Datagram is a packet and its destination.
+type Datagram struct {
+	To    netip.AddrPort
+	Bytes []byte
 }
 
 // Handle decides about the packet in b, which starts after the codec's headroom.
@@ -106,17 +116,20 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lastPacketAt = now
-	findServer := e.continueFlow
+	var server *directory.Server
+	var refused *refusal
+	var corrections []Datagram
 	if packet.Opens {
-		findServer = e.open
+		server, refused = e.open(d, packet, b, now)
+	} else {
+		server, corrections, refused = e.continueFlow(d, packet, now)
 	}
-	server, refused := findServer(d, packet, now)
 	if refused != nil {
 		return e.refuse(b, packet, refused)
 	}
 	e.codec.Encapsulate(b, server.Number, server.Cookie)
 	e.metrics.Count(metrics.PacketsOut, 1)
-	return Verdict{To: server.Endpoint, Bytes: b}
+	return Verdict{To: server.Endpoint, Bytes: b, Corrections: corrections}
 }
 
 // refusal describes why a packet is not forwarded.
@@ -136,8 +149,8 @@
 
 // open chooses a server for a new flow. For a retransmitted opening packet it
 // returns the server chosen before, or another one if possible when that server
-// has not answered in time.
-func (e *Engine) open(d *directory.Directory, p Packet, now time.Time) (*directory.Server, *refusal) {
+// has not answered in time. The packet with its headroom is in raw.
+func (e *Engine) open(d *directory.Directory, p Packet, raw []byte, now time.Time) (*directory.Server, *refusal) {
 	key := flowKey{p.Caller, p.Service}
 	f := e.flows[key]
 	if f != nil && f.isReusedBy(p, now) {
@@ -185,9 +198,13 @@
 		e.placer.Abandon(ticket)
 		return server, nil
 	}
-	// Another daemon may have forwarded an earlier copy to another server.
-	f.contested = f.contested || p.Retransmits > 0 && f.server != server
-	f.server, f.route, f.ticket, f.lastSeen, f.placedAt = server, route, ticket, now, now
+	if p.Retransmits > 0 {
+		// Another daemon may have forwarded an earlier copy to another server.
+		f.contested = f.contested || f.server == nil
+		f.opening = append(f.opening[:0], raw...)
+	}
+	f.moveTo(server)
+	f.route, f.ticket, f.lastSeen, f.placedAt = route, ticket, now, now
 	return server, nil
 }
 
@@ -208,19 +225,55 @@
 		zap.Uint64("era", d.Position.Era), zap.Uint64("revision", d.Position.Revision), zap.Duration("age", e.directories.Age(now)))
 }
 
-// continueFlow returns the server for a packet that does not open a flow.
-func (e *Engine) continueFlow(d *directory.Directory, p Packet, now time.Time) (*directory.Server, *refusal) {
+// continueFlow returns the server for a packet that does not open a flow, and the
+// corrections for servers that may have accepted the flow too.
+func (e *Engine) continueFlow(d *directory.Directory, p Packet, now time.Time) (*directory.Server, []Datagram, *refusal) {
 	key := flowKey{p.Caller, p.Service}
 	f := e.flows[key]
 	if f == nil {
-		return e.serverByCookie(d, p)
+		server, refused := e.serverByCookie(d, p)
+		return server, nil, refused
 	}
 	f.lastSeen = now
 	if !f.established {
 		e.establish(d, f, p, now)
 	}
 	e.trackRequest(f, p, now)
-	return f.server, nil
+	return f.server, e.correctAlternates(d, f, p, now), nil
+}
+
+// correctAlternates returns copies of the opening packet with the cookie of the flow's
+// server for the alternates. A server answers with the last cookie that it received on a
+// flow, so the SYN+ACKs that an alternate repeats no longer change the caller's cookie, and
+// daemons without a record of the flow find its server. The copies may get lost: another one
+// follows when the caller echoes the cookie of an alternate again.
+func (e *Engine) correctAlternates(d *directory.Directory, f *flow, p Packet, now time.Time) []Datagram {
+	if f.ended || f.opening == nil {
+		return nil
+	}
+	var out []Datagram
+	for i := range f.alternates {
+		a := &f.alternates[i]
+		repeated := p.Cookie == a.server.Cookie && now.Sub(a.correctedAt) >= placement.AcceptTimeout
+		if !a.correctedAt.IsZero() && !repeated || !acceptsFlows(d, a.server) {
+			continue
+		}
+		a.correctedAt = now
+		b := slices.Clone(f.opening)
+		e.codec.Encapsulate(b, a.server.Number, f.server.Cookie)
+		out = append(out, Datagram{a.server.Endpoint, b})
+		e.metrics.Count(metrics.CookiesCorrected, 1)
+		e.log.Log(events.CookieCorrected, zap.Stringer("caller", p.Caller), zap.Stringer("service", p.Service),
+			zap.String("server", f.server.Name), zap.String("alternate", a.server.Name), zap.Bool("echoed", p.Cookie == a.server.Cookie))
+	}
+	return out
+}
+
+// acceptsFlows reports whether the process of a server from an earlier directory still
+// takes new flows. Any other server would reset the flow or must not get an opening packet.
+func acceptsFlows(d *directory.Directory, s *directory.Server) bool {
+	current := d.ByCookie(s.Cookie)
+	return current != nil && current.Name == s.Name && current.Started == s.Started && slices.Contains(d.Candidates(current.Pool), current)
 }
 
 // serverByCookie returns the server for a packet of a flow without a record here, which
@@ -244,7 +297,7 @@
 	f.established = true
 	if p.Cookie != 0 && p.Cookie != f.server.Cookie {
 		if s := d.ByCookie(p.Cookie); s != nil {
-			f.server, f.contested = s, true
+			f.moveTo(s)
 		}
 	}
 	if f.ticket == nil {
--- a/internal/cookie/engine_test.go
+++ b/internal/cookie/engine_test.go
@@ -187,6 +187,78 @@
 	h.is.Equal(v.To, h.directories.endpoint(opened))
 }
 
+// acceptedByTwo opens a flow that two servers have accepted: the answer of the first one was
+// lost and the caller has acknowledged the second one. It returns both and the verdict on
+// the caller's first packet after the opening ones.
+func (h *harness) acceptedByTwo() (alternate, server directory.Cookie, v Verdict) {
+	alternate = h.open(0)
+	h.now = h.now.Add(200 * time.Millisecond)
+	server = h.open(1)
+	h.is.True(alternate != server)
+	return alternate, server, h.send(Packet{Cookie: server})
+}
+
+// Guards against a flow that two servers have accepted and that moves to a daemon without a
+// record of it: the SYN+ACKs that the second server repeats must carry the cookie of the
+// flow's server (review case 3).
+func TestAlternateIsToldTheCookieOfTheFlowsServer(t *testing.T) {
+	h := newHarness(t)
+	alternate, server, v := h.acceptedByTwo()
+	h.is.Equal(v.To, h.directories.endpoint(server))
+	h.is.Equal(len(v.Corrections), 1)
+	correction := v.Corrections[0]
+	h.is.Equal(correction.To, h.directories.endpoint(alternate))
+	h.is.Equal(correction.Bytes[0], byte(alternate))
+	h.is.Equal(correction.Bytes[1], byte(server)) // the alternate's next SYN+ACK has this cookie
+	packet, err := jsonCodec{}.Parse(correction.Bytes[4:])
+	h.is.NoErr(err)
+	h.is.Equal(packet, Packet{Caller: caller, Service: service, Opens: true, Retransmits: 1}) // as the caller sent it
+	h.is.Equal(len(h.send(Packet{Cookie: server, PayloadLen: 10}).Corrections), 0)
+	h.is.Equal(h.metrics.Totals().Value(metrics.CookiesCorrected), int64(1))
+}
+
+// Guards against an alternate that keeps its own cookie because the correction was lost.
+func TestLostCorrectionIsRepeated(t *testing.T) {
+	h := newHarness(t)
+	alternate, server, _ := h.acceptedByTwo()
+	h.is.Equal(len(h.send(Packet{Cookie: alternate}).Corrections), 0) // the first one is on its way
+	h.now = h.now.Add(placement.AcceptTimeout)
+	h.is.Equal(len(h.send(Packet{Cookie: server}).Corrections), 0)
+	h.is.Equal(len(h.send(Packet{Cookie: alternate}).Corrections), 1)
+	h.is.Equal(len(h.send(Packet{Cookie: alternate}).Corrections), 0)
+}
+
+// Guards against opening packets for servers that must not get any, or that would reset the
+// flow because they do not know it any more.
+func TestOnlyServersThatTakeFlowsAreCorrected(t *testing.T) {
+	for name, change := range map[string]func(s *directory.Server) directory.Change{
+		"draining": func(s *directory.Server) directory.Change { s.Draining = true; return directory.Change{Server: s} },
+		"restarted": func(s *directory.Server) directory.Change {
+			s.Started++
+			return directory.Change{Server: s}
+		},
+		"vanished": func(s *directory.Server) directory.Change { return directory.Change{Deleted: s.Name} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			alternate := h.open(0)
+			h.now = h.now.Add(200 * time.Millisecond)
+			opened := h.open(1)
+			h.apply(change(server(uint64(alternate), h.directories.current.ByCookie(alternate).Endpoint.String())))
+			h.is.Equal(len(h.send(Packet{Cookie: opened}).Corrections), 0)
+		})
+	}
+}
+
+// Guards against opening packets for a flow that has ended.
+func TestEndedFlowIsNotCorrected(t *testing.T) {
+	h := newHarness(t)
+	alternate, server, _ := h.acceptedByTwo()
+	h.send(Packet{Cookie: server, Ends: true})
+	h.now = h.now.Add(placement.AcceptTimeout)
+	h.is.Equal(len(h.send(Packet{Cookie: alternate}).Corrections), 0)
+}
+
 // Guards against a new flow that goes to the server of an earlier one from the same port,
 // which ended without a packet from the caller, or whose first opening packet was lost.
 func TestReusedCallerPortOfASilentFlow(t *testing.T) {
--- a/internal/cookie/flows.go
+++ b/internal/cookie/flows.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"knapweedshore.example/internal/directory"
@@ -26,6 +27,10 @@
 	// contested is set if a second server may have accepted the flow. That server repeats
 	// its SYN+ACK for some seconds, and the caller then echoes its cookie.
 	contested bool
+	// alternates are the other servers to which this daemon has forwarded the opening
+	// packet, and opening is the last copy of that packet with the codec's headroom.
+	alternates []alternate
+	opening    []byte
 	// requestAck is the acknowledgement number in the caller's request, valid
 	// if requested is set.
 	requestAck                      uint32
@@ -35,6 +40,23 @@
 	placedAt time.Time
 }
 
+// alternate is a server that may have accepted a flow which is open at another one.
+type alternate struct {
+	server *directory.Server
+	// correctedAt is when the server was last told the cookie of the flow's server.
+	correctedAt time.Time
+}
+
+// moveTo makes s the flow's server and the previous one an alternate.
+func (f *flow) moveTo(s *directory.Server) {
+	if f.server != nil && f.server.Cookie != s.Cookie {
+		f.contested = true
+		f.alternates = slices.DeleteFunc(f.alternates, func(a alternate) bool { return a.server.Cookie == s.Cookie })
+		f.alternates = append(f.alternates, alternate{server: f.server})
+	}
+	f.server = s
+}
+
 // Limits on flow records.
 const (
 	// maxFlows is the maximum number of records, of about 300 bytes each. Flows
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -268,7 +269,7 @@
 	}
 }
 
-// send sends the packet or reset of a verdict, if there is one. A reset goes to the
+// send sends the packets or the reset of a verdict, if there are any. A reset goes to the
 // data port at the caller's address.
 func (d *Daemon) send(v cookie.Verdict) {
 	if !v.To.IsValid() {
@@ -277,7 +278,14 @@
 	if v.Reset {
 		v.To = withPort(v.To, d.options.Settings.Data.Port())
 	}
-	if _, err := d.data.WriteToUDPAddrPort(v.Bytes, v.To); err != nil {
+	d.write(v.Bytes, v.To)
+	for _, c := range v.Corrections {
+		d.write(c.Bytes, c.To)
+	}
+}
+
+func (d *Daemon) write(b []byte, to netip.AddrPort) {
+	if _, err := d.data.WriteToUDPAddrPort(b, to); err != nil {
 		d.options.Metrics.Refused(metrics.SendFailed)
 	}
 }
--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -246,6 +247,55 @@
 	}
 }
 
+// Guards against a flow that is reset by a second server which has accepted it, once its
+// packets come through a daemon that did not see it open (review case 3).
+func TestFlowAcceptedByTwoServersSurvivesItsDaemon(t *testing.T) {
+	s := newSite(t)
+	is := is.New(t)
+	backends := map[netip.AddrPort]*platform.Backend{}
+	for n := range byte(2) {
+		b := s.addBackend(n+1, "a")
+		backends[b.Endpoint] = b
+	}
+	first, second := s.start("a"), s.start("a")
+	s.awaitReady(first, second)
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.addr(9, 2, dataPort)))
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	src := s.addr(9, 2, 2000)
+	send := func(d *daemon, p platform.Packet) {
+		p.Src, p.Dst = src, serviceAddr
+		_, err := conn.WriteToUDPAddrPort(p.Encode(), d.settings.Data)
+		is.NoErr(err)
+	}
+	receive := func() (platform.Packet, netip.AddrPort) {
+		buffer := make([]byte, 2048)
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(5 * time.Second)))
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
+		is.NoErr(err)
+		p, err := platform.DecodePacket(buffer[:n])
+		is.NoErr(err)
+		return p, from
+	}
+	send(first, platform.Packet{Seq: 1000, Flags: platform.SYN})
+	_, alternate := receive() // a lost answer
+	var accepted platform.Packet
+	server := alternate
+	for copies := uint32(1); server == alternate; copies++ {
+		send(first, platform.Packet{Seq: 1000, Ack: copies, Flags: platform.SYN})
+		accepted, server = receive()
+	}
+	send(first, platform.Packet{Seq: 1001, Ack: accepted.Seq, Echo: accepted.Echo, Flags: platform.ACK})
+	repeated, from := receive()
+	is.Equal(from, alternate)
+	is.Equal(repeated.Flags, platform.SYN|platform.ACK)
+	is.Equal(repeated.Echo, accepted.Echo) // the cookie of the flow's server
+	send(second, platform.Packet{Seq: 1001, Ack: accepted.Seq, Echo: repeated.Echo, Flags: platform.ACK, Data: []byte("request")})
+	response, from := receive()
+	is.Equal(from, server)
+	is.Equal(string(response.Data), backends[server].ID+" request")
+}
+
 // Guards against a daemon that reports ready before it has a directory, and against
 // a stopping daemon that no longer forwards while the fabric still sends to it.
 func TestReadiness(t *testing.T) {
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -88,6 +88,7 @@
 	FlowsUnanswered      Reason = "flows_unanswered"
 	ServersSuspected     Reason = "servers_suspected"
 	FlowsMoved           Reason = "flows_moved"
+	CookiesCorrected     Reason = "cookies_corrected"
 )
 
 var totalNames = []Reason{
@@ -95,7 +96,7 @@
 	FlowsClosed, FlowsExpired, FlowsDeviated, SilentFlows, Ejections,
 	ExceptionsSent, ExceptionsStored, ExceptionsHandover, TablesApplied,
 	StoreCalls, ControlBytesSent, ControlBytesReceived, MembersDied,
-	ProbesSent, FlowsUnanswered, ServersSuspected, FlowsMoved,
+	ProbesSent, FlowsUnanswered, ServersSuspected, FlowsMoved, CookiesCorrected,
 }
 
 // Names of the latency histograms.
