Date each confirmation of the directory once, and before a pause of the process

Cause: a report states how long ago the sender's directory was confirmed, and the receiver reckoned that back from the time at which it handled the report. Reports that had waited in the socket of a frozen machine counted as new when it woke. It passed their date on, and every daemon believed it, so that all left the store to daemons that the store refused. The same sum lost the time under way of every report: daemons that confirm each other in a circle saw ages that hardly grew.

Ruled out: a watch that hangs (their own calls were answered at once) and the silence of zones a and b (they reported that their calls failed, 0.15 s after their last answer).

Change: an answer of the store is a confirmation with the id of the process that got it and a number. It is dated when a daemon first hears of it; later reports do not change the date. So messages that may have waited during a pause are dated to its beginning, answers of the store included, and a suspension that the monotonic clock did not count makes all dates earlier. The monitor of pauses moves to internal/pause for that. The freshness that a report or a fetch states is now read before the position it belongs to.

--- a/internal/entry/backlog.go
+++ b/internal/entry/backlog.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"sync/atomic"
 	"time"
 
 	"knapweedshore.example/internal/pause"
@@ -21,32 +20,12 @@
 	maxBacklogTime = 100 * time.Millisecond
 )
 
-// pauseMonitor detects that the daemon has not run for longer than staleAfter.
-type pauseMonitor struct {
-	detector *pause.Detector
-	// lastPauseEnd is when the last pause ended; nil if there was none.
-	lastPauseEnd atomic.Pointer[time.Time]
-}
-
-func newPauseMonitor(now time.Time) *pauseMonitor { return &pauseMonitor{detector: pause.New(now)} }
-
-// tick records that the daemon runs at now and returns when the last pause ended,
-// or nil. It is called from several goroutines; the first one to run after a pause
-// detects it.
-func (p *pauseMonitor) tick(now time.Time) *time.Time {
-	if p.detector.Gap(now) > staleAfter {
-		p.lastPauseEnd.Store(&now)
-	}
-	p.detector.Mark(now)
-	return p.lastPauseEnd.Load()
-}
-
 // backlog tracks whether the packets being read have waited in the socket while the
 // daemon could not read them. Only the reading goroutine uses it.
 type backlog struct {
-	pauses *pauseMonitor
-	// handledPauseEnd is the end of the last pause that read has handled.
-	handledPauseEnd *time.Time
+	pauses *pause.Monitor
+	// handledPause is the last pause that read has handled.
+	handledPause *pause.Pause
 	// until is when the backlog ends unless the socket becomes empty before; zero if
 	// there is no backlog.
 	until time.Time
@@ -58,10 +37,10 @@
 // read records that a packet was read. It reports whether the packet has waited,
 // and whether a pause of the daemon has just ended.
 func (b *backlog) read(now time.Time) (waited, paused bool) {
-	if ended := b.pauses.tick(now); ended != b.handledPauseEnd {
-		b.handledPauseEnd = ended
+	if last := b.pauses.Tick(now); last != b.handledPause {
+		b.handledPause = last
 		// A packet that is read later than that has arrived after the pause.
-		paused = now.Sub(*ended) < maxBacklogTime
+		paused = now.Sub(last.End) < maxBacklogTime
 	}
 	if paused {
 		b.start(now)
--- a/internal/entry/backlog_test.go
+++ b/internal/entry/backlog_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"knapweedshore.example/internal/pause"
 )
 
 // Guards against forwarding opening packets seconds late after the process was
@@ -16,7 +18,7 @@
 	for name, tickFirst := range map[string]bool{"reader runs first": false, "upkeep runs first": true} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p := newPauseMonitor(start)
+			p := pause.NewMonitor(start, staleAfter)
 			b := &backlog{pauses: p}
 			now := start.Add(staleAfter)
 			waited, paused := b.read(now)
@@ -25,7 +27,7 @@
 
 			now = now.Add(3 * time.Second)
 			if tickFirst {
-				p.tick(now)
+				p.Tick(now)
 			}
 			waited, paused = b.read(now)
 			is.True(waited && paused)
@@ -39,16 +41,16 @@
 	}
 	t.Run("nothing has waited", func(t *testing.T) {
 		is := is.New(t)
-		b := &backlog{pauses: newPauseMonitor(start)}
+		b := &backlog{pauses: pause.NewMonitor(start, staleAfter)}
 		resumed := start.Add(3 * time.Second)
-		b.pauses.tick(resumed)
-		b.pauses.tick(resumed.Add(maxBacklogTime))
+		b.pauses.Tick(resumed)
+		b.pauses.Tick(resumed.Add(maxBacklogTime))
 		waited, paused := b.read(resumed.Add(maxBacklogTime))
 		is.True(!waited && !paused)
 	})
 	t.Run("busy daemon", func(t *testing.T) {
 		is := is.New(t)
-		b := &backlog{pauses: newPauseMonitor(start)}
+		b := &backlog{pauses: pause.NewMonitor(start, staleAfter)}
 		b.start(start)
 		waited, _ := b.read(start.Add(maxBacklogTime - time.Millisecond))
 		is.True(waited)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -23,6 +23,7 @@
 	"knapweedshore.example/internal/events"
 	"knapweedshore.example/internal/exchange"
 	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/pause"
 	"knapweedshore.example/internal/placement"
 	"knapweedshore.example/internal/registry"
 	"knapweedshore.example/internal/settings"
@@ -74,7 +75,7 @@
 	engine   *cookie.Engine
 	table    *exchange.PeerTable
 	exchange *exchange.Exchange
-	pauses   *pauseMonitor
+	pauses   *pause.Monitor
 	leaving  atomic.Bool
 	killed   chan struct{}
 	killOnce sync.Once
@@ -86,9 +87,9 @@
 // New creates a daemon and opens its sockets. Call Run or Close next.
 func New(o Options) (*Daemon, error) {
 	watch := registry.WatchTimesFor(o.Settings.RecoveryTime, o.Settings.ReactionTime())
-	d := &Daemon{options: o, killed: make(chan struct{}), pauses: newPauseMonitor(time.Now()), placer: placement.New(o.Settings.Zone, rand.Uint64())}
+	d := &Daemon{options: o, killed: make(chan struct{}), pauses: pause.NewMonitor(time.Now(), staleAfter), placer: placement.New(o.Settings.Zone, rand.Uint64())}
 	d.follower = registry.NewFollower(registry.Options{
-		Source: o.Source, Decoder: o.Decoder, Log: o.Log, Metrics: o.Metrics, Watch: watch,
+		Source: o.Source, Decoder: o.Decoder, Log: o.Log, Metrics: o.Metrics, Watch: watch, Pauses: d.pauses,
 		Keep:     directory.RetentionFor(o.Settings.DrainTime, o.Settings.FlowLifetime),
 		Prefetch: func(ctx context.Context) bool { return d.exchange.Prefetch(ctx) },
 	})
@@ -234,7 +235,7 @@
 	position := d.follower.Position()
 	d.options.Log.Log(events.Ready, zap.Uint64("era", position.Era), zap.Uint64("revision", position.Revision))
 	now := time.Now()
-	queued := backlog{pauses: d.pauses, handledPauseEnd: d.pauses.tick(now)}
+	queued := backlog{pauses: d.pauses, handledPause: d.pauses.Tick(now)}
 	if took := now.Sub(start); took > staleAfter {
 		d.options.Log.Log(events.BacklogDropped, zap.Duration("waited_for_directory", took))
 		queued.start(now)
@@ -306,7 +307,7 @@
 func (d *Daemon) expireLoop(ctx context.Context) {
 	for wait.For(ctx, expireInterval) {
 		now := time.Now()
-		d.pauses.tick(now)
+		d.pauses.Tick(now)
 		d.engine.Expire(now)
 		d.placer.ExpirePeers(now)
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -114,9 +114,10 @@
 // report returns an encoded report about this daemon.
 func (e *Exchange) report(now time.Time) ([]byte, error) {
 	f := e.options.Follower
+	confirmation, age := f.Freshness(now) // read before the position that it confirms
 	return encodeReport(Report{
 		VM: e.options.VM, Zone: e.options.Zone, Start: e.start, Sequence: e.sequence.Add(1),
-		Position: f.Position(), Age: min(maxAge, f.Age(now)), Watching: f.Watching(), Leaving: e.leaving.Load(), StoreFailing: f.StoreFailing(),
+		Position: f.Position(), Confirmation: confirmation, Age: min(maxAge, age), Watching: f.Watching(), Leaving: e.leaving.Load(), StoreFailing: f.StoreFailing(),
 		Load: e.options.Placer.Load(now), Watchers: e.options.Table.Watchers(now),
 		Zones: e.options.Table.HeardZones(now),
 	})
@@ -206,7 +207,7 @@
 		return
 	}
 	e.options.Placer.SetPeerLoad(from.String(), r.Load, now)
-	e.options.Follower.Confirm(r.Position, now.Add(-r.Age))
+	e.options.Follower.Confirm(r.Position, r.Confirmation, r.Age, now)
 	if r.Position.IsAfter(e.options.Follower.Position()) {
 		signal(e.fetchDue)
 	}
--- a/internal/exchange/fetch.go
+++ b/internal/exchange/fetch.go
@@ -21,6 +21,7 @@
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/events"
 	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/registry"
 	"knapweedshore.example/internal/wait"
 	"knapweedshore.example/peerapi"
 )
@@ -169,7 +170,8 @@
 		return err
 	}
 	e.options.Follower.Merge(reading, from.String())
-	e.options.Follower.Confirm(reading.Position, now.Add(-milliseconds(response.ReadingAgeMs)))
+	confirmation := registry.Confirmation{Source: response.ConfirmedBy, Number: response.Confirmation}
+	e.options.Follower.Confirm(reading.Position, confirmation, milliseconds(response.ReadingAgeMs), now)
 	return nil
 }
 
@@ -243,8 +245,9 @@
 func (s directoryServer) FetchItems(_ context.Context, r *peerapi.FetchItemsRequest) (*peerapi.FetchItemsResponse, error) {
 	now := time.Now()
 	e := s.exchange
+	confirmation, age := e.options.Follower.Freshness(now) // read before the position that it confirms
 	reading := e.options.Follower.ChangesSince(directory.Position{Era: r.HaveEra, Revision: r.HaveRevision})
-	response, err := encodeReading(reading, e.options.Follower.Age(now), now, e.packer)
+	response, err := encodeReading(reading, confirmation, age, now, e.packer)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/exchange/freshness_test.go
+++ b/internal/exchange/freshness_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,23 +157,87 @@
 	return c, err == nil
 }
 
+// maxInbox is the number of reports that a socket has room for. Later ones are lost.
+const maxInbox = 160
+
 // modelDaemon is a daemon with the real follower and peer table. The model carries
 // its reports and the items that it fetches.
 type modelDaemon struct {
-	addr     netip.Addr
-	zone     int
-	link     *storeLink
-	follower *registry.Follower
-	table    *PeerTable
-	sequence uint64
-	dead     bool
-	version  uint64             // of the configuration at the last check
-	position directory.Position // of the directory at the last check
+	addr netip.Addr
+	zone int
+	link *storeLink
+	// storeState is how the store treats the daemon's calls.
+	storeState string
+	follower   *registry.Follower
+	table      *PeerTable
+	sequence   uint64
+	dead       bool
+	// frozenUntil is when the daemon runs again; zero while it runs. Reports wait in its
+	// inbox.
+	frozenUntil time.Time
+	frozen      atomic.Bool
+	inbox       []sentReport
+	version     uint64             // of the configuration at the last check
+	position    directory.Position // of the directory at the last check
 	// servedSince is the time since which the store has served the daemon, zero while
 	// it does not.
 	servedSince time.Time
 }
 
+// sentReport is a report on its way to a daemon.
+type sentReport struct {
+	from   *modelDaemon
+	report Report
+}
+
+// handle handles a report as Exchange does.
+func (d *modelDaemon) handle(s sentReport, now time.Time) {
+	if d.table.RecordReport(s.from.addr, s.report, now) {
+		d.follower.Confirm(s.report.Position, s.report.Confirmation, s.report.Age, now)
+	}
+}
+
+// freeze stops the daemon for a time. Its calls to the store get no answer.
+func (d *modelDaemon) freeze(now time.Time, length time.Duration) {
+	if length > 0 && !d.dead {
+		d.frozenUntil, d.servedSince = now.Add(length), time.Time{}
+		d.frozen.Store(true)
+		d.link.setState(silent)
+	}
+}
+
+// wake lets a frozen daemon run again. It reads the reports that have waited.
+func (d *modelDaemon) wake(now time.Time, state string) {
+	d.frozenUntil = time.Time{}
+	d.frozen.Store(false)
+	d.link.setState(state)
+	if state == served {
+		d.servedSince = now
+	}
+	d.receive(now)
+}
+
+// modelRole is the role of a model daemon. Its follower stands still while it is frozen.
+type modelRole struct{ *modelDaemon }
+
+func (r modelRole) ShouldWatch(now time.Time) bool {
+	for r.frozen.Load() {
+		time.Sleep(10 * time.Millisecond)
+		now = time.Now()
+	}
+	return r.table.ShouldWatch(now)
+}
+
+func (r modelRole) FailingPeers(now time.Time) int { return r.table.FailingPeers(now) }
+
+// receive reads the reports that have arrived.
+func (d *modelDaemon) receive(now time.Time) {
+	for _, s := range d.inbox {
+		d.handle(s, now)
+	}
+	d.inbox = nil
+}
+
 // model is a region of daemons with their links.
 type model struct {
 	// maxChangeDelay is the time within which a change must be in force.
@@ -185,6 +250,8 @@
 	// responses are the fetched items in transit.
 	responses []response
 	transfers int
+	// slowReports lets each report arrive a round later than it was sent.
+	slowReports bool
 	// writtenAt holds the times at which versions 1, 2 and so on were written.
 	writtenAt []time.Time
 	// violation describes the first violation of the bounds, empty for none.
@@ -205,7 +272,7 @@
 	watch := registry.WatchTimesFor(recoveryTime, maxChangeDelay)
 	for zone, n := range zones {
 		for i := range n {
-			d := &modelDaemon{addr: addr(zone, i+1), zone: zone, link: &storeLink{store: store, state: served, broken: make(chan struct{})}}
+			d := &modelDaemon{addr: addr(zone, i+1), zone: zone, storeState: served, link: &storeLink{store: store, state: served, broken: make(chan struct{})}}
 			d.follower = registry.NewFollower(registry.Options{
 				Source: d.link, Decoder: versionDecoder{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Watch: watch,
 			})
@@ -243,7 +310,7 @@
 		if now.Before(r.arrives) {
 			return false
 		}
-		if !r.to.dead {
+		if !r.to.dead && r.to.frozenUntil.IsZero() {
 			r.to.follower.Merge(r.reading, "peer")
 		}
 		return true
@@ -254,28 +321,42 @@
 func (m *model) round(now time.Time) {
 	m.deliver(now)
 	for _, d := range m.daemons {
-		if d.dead {
+		switch {
+		case d.frozenUntil.IsZero():
+			d.receive(now)
+		case !now.Before(d.frozenUntil):
+			d.wake(now, d.storeState)
+		}
+	}
+	for _, d := range m.daemons {
+		if d.dead || !d.frozenUntil.IsZero() {
 			continue
 		}
 		d.sequence++
+		confirmation, age := d.follower.Freshness(now)
 		report := Report{
 			VM: d.addr.String(), Zone: zoneName(d.zone), Start: 1, Sequence: d.sequence, Position: d.follower.Position(),
-			Age: min(maxAge, d.follower.Age(now)), Watching: d.follower.Watching(), StoreFailing: d.follower.StoreFailing(), Watchers: d.table.Watchers(now), Zones: d.table.HeardZones(now),
+			Confirmation: confirmation, Age: min(maxAge, age), Watching: d.follower.Watching(), StoreFailing: d.follower.StoreFailing(), Watchers: d.table.Watchers(now), Zones: d.table.HeardZones(now),
 		}
 		peers := slices.Clone(d.table.NextZoneRound().Peers)
 		peers = append(peers, d.table.NextCrossZoneBatch()...)
 		for _, a := range peers {
-			if to := m.byAddr[a]; m.reaches(d, to) && to.table.RecordReport(d.addr, report, now) {
-				to.follower.Confirm(report.Position, now.Add(-report.Age))
+			if to := m.byAddr[a]; m.reaches(d, to) {
+				if len(to.inbox) < maxInbox {
+					to.inbox = append(to.inbox, sentReport{d, report})
+				}
+				if !m.slowReports && to.frozenUntil.IsZero() {
+					to.receive(now)
+				}
 			}
 		}
 	}
 	for _, d := range m.daemons {
-		if d.dead {
+		if d.dead || !d.frozenUntil.IsZero() {
 			continue
 		}
 		for _, a := range d.table.FetchCandidates(now) {
-			if from := m.byAddr[a]; m.reaches(d, from) {
+			if from := m.byAddr[a]; m.reaches(d, from) && from.frozenUntil.IsZero() {
 				transferTime := maxTransferTime / time.Duration(1+m.transfers%3)
 				m.transfers++
 				m.responses = append(m.responses, response{d, from.follower.ChangesSince(d.follower.Position()), now.Add(transferTime)})
@@ -301,7 +382,7 @@
 		}
 		connected := !d.servedSince.IsZero() && now.Sub(d.servedSince) >= recoveryTime
 		switch {
-		case m.violation != "" || d.dead:
+		case m.violation != "" || d.dead || !d.frozenUntil.IsZero():
 		case version < d.version || d.position.IsAfter(d.follower.Position()):
 			m.violation = fmt.Sprintf("%s went back from version %d, position %s to version %d, position %s",
 				d.addr, d.version, d.position, version, d.follower.Position())
@@ -323,6 +404,11 @@
 	// Dead is the number of daemons that die, from the first one on. IsolatedZone is the
 	// index of the zone that is cut off, -1 for none.
 	Dead, IsolatedZone int
+	// Frozen is a bit set of the daemons that freeze for FrozenFor, FreezeLead before the
+	// failure. SlowReports lets each report arrive 100 ms late from then on.
+	Frozen                uint
+	FrozenFor, FreezeLead time.Duration
+	SlowReports           bool
 	// Lost is the number of changes that the store loses, because it is restored from a
 	// backup, zero if it is not. The operator writes the newest configuration again.
 	Lost int
@@ -346,7 +432,7 @@
 	r.write()
 	var running sync.WaitGroup
 	for _, d := range m.daemons {
-		running.Go(func() { d.follower.Run(ctx, d.table) })
+		running.Go(func() { d.follower.Run(ctx, modelRole{d}) })
 	}
 	r.stop = func() { cancel(); running.Wait() }
 	r.advance(2 * time.Second)
@@ -384,9 +470,13 @@
 
 // setState sets how the store treats the calls of a daemon.
 func (d *modelDaemon) setState(state string) {
-	if before, _ := d.link.current(); before == state {
+	if d.storeState == state {
 		return
 	}
+	d.storeState = state
+	if !d.frozenUntil.IsZero() {
+		return // in effect once the daemon runs again
+	}
 	d.link.setState(state)
 	d.servedSince = time.Time{}
 	if state == served {
@@ -401,6 +491,13 @@
 	defer r.stop()
 	for _, f := range faults {
 		r.advance(f.After)
+		r.slowReports = f.SlowReports
+		for i, d := range r.daemons {
+			if f.Frozen>>(i%affectedBits)&1 == 1 {
+				d.freeze(time.Now(), f.FrozenFor)
+			}
+		}
+		r.advance(f.FreezeLead)
 		for i, d := range r.daemons {
 			d.dead = d.dead || i < f.Dead && i < len(r.daemons)-1
 			state := served
@@ -417,7 +514,7 @@
 			r.advance(pause)
 			r.write()
 		}
-		r.advance(recoveryTime + maxChangeDelay)
+		r.advance(f.FrozenFor + recoveryTime + maxChangeDelay)
 	}
 	return r.violation
 }
@@ -475,12 +572,49 @@
 	})
 }
 
+// Guards against a daemon that wakes from a freeze and takes the reports that have waited
+// for it for new ones: it told the region that its directory was current, and daemons that
+// the store serves left the watch to others which it refuses (review case 4).
+func TestFrozenDaemonDoesNotConfirmAnOldDirectory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		violation := runFaults([]int{2, 1, 3, 3}, 3*time.Second, []fault{{
+			After: 600 * time.Millisecond, Frozen: 0b10, FrozenFor: 3900 * time.Millisecond, FreezeLead: 2 * time.Second,
+			Failure: refused, Affected: 0b111, IsolatedZone: -1, Writes: []time.Duration{200 * time.Millisecond},
+		}})
+		if violation != "" {
+			t.Error(violation)
+		}
+	})
+}
+
+// Guards against ages that hardly grow because daemons confirm each other's directories and
+// each report loses the time for which it was under way.
+func TestDaemonsDoNotConfirmEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := startRegion(newModel(&sharedStore{changed: make(chan struct{})}, []int{2, 2, 2}, 3*time.Second))
+		defer r.stop()
+		r.slowReports = true
+		r.advance(time.Second)
+		r.setStates(refused)
+		const outage = 10 * time.Second
+		r.advance(outage)
+		for _, d := range r.daemons {
+			if age := d.follower.Age(time.Now()); age < outage {
+				t.Errorf("%s: age of the directory is %s after an outage of %s", d.addr, age, outage)
+			}
+		}
+	})
+}
+
 // Guards against the same failures in zones that are too large for a mesh of reports.
 func TestChangesAreInForceInTimeInLargeZones(t *testing.T) {
 	for seed, zones := range [][]int{{22, 22}, {40, 40, 8}, {65, 3}} {
 		t.Run(fmt.Sprint(zones), func(t *testing.T) {
 			t.Parallel()
 			faults := []fault{rapid.Custom(drawFault).Example(seed), rapid.Custom(drawFault).Example(100 + seed)}
+			for i := range faults {
+				faults[i].SlowReports = false // news takes several hops here, and each would lose 100 ms
+			}
 			violation := ""
 			synctest.Test(t, func(*testing.T) { violation = runFaults(zones, 3*time.Second, faults) })
 			if violation != "" {
@@ -497,6 +631,10 @@
 		Affected:     rapid.UintRange(0, 1<<affectedBits-1).Draw(rt, "affected daemons"),
 		Dead:         rapid.IntRange(0, 3).Draw(rt, "dead daemons"),
 		IsolatedZone: rapid.IntRange(-1, 3).Draw(rt, "isolated zone"),
+		Frozen:       rapid.UintRange(0, 1<<affectedBits-1).Draw(rt, "frozen daemons"),
+		FrozenFor:    time.Duration(rapid.IntRange(0, 60).Draw(rt, "length of the freeze")) * 100 * time.Millisecond,
+		FreezeLead:   time.Duration(rapid.IntRange(0, 40).Draw(rt, "lead of the freeze")) * 100 * time.Millisecond,
+		SlowReports:  rapid.Bool().Draw(rt, "slow reports"),
 		Lost:         rapid.IntRange(0, 4).Draw(rt, "changes lost by a restore"),
 		Writes: rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) time.Duration {
 			return time.Duration(rapid.IntRange(0, 20).Draw(rt, "pause")) * 100 * time.Millisecond
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -28,7 +28,7 @@
 func encodeReport(r Report) ([]byte, error) {
 	m := &peerapi.Report{
 		Vm: r.VM, Zone: r.Zone, Start: r.Start, Sequence: r.Sequence, Era: r.Position.Era, Revision: r.Position.Revision,
-		AgeMs: uint64(r.Age.Milliseconds()), Watching: r.Watching, Leaving: r.Leaving, StoreFailing: r.StoreFailing,
+		ConfirmedBy: r.Confirmation.Source, Confirmation: r.Confirmation.Number, AgeMs: uint64(r.Age.Milliseconds()), Watching: r.Watching, Leaving: r.Leaving, StoreFailing: r.StoreFailing,
 	}
 	for c, n := range r.Load.InProgress {
 		if len(m.Working) == maxReportedServers {
@@ -73,8 +73,9 @@
 	}
 	r := Report{
 		VM: m.Vm, Zone: m.Zone, Start: m.Start, Sequence: m.Sequence,
-		Position: directory.Position{Era: m.Era, Revision: m.Revision},
-		Age:      milliseconds(m.AgeMs), Watching: m.Watching, Leaving: m.Leaving, StoreFailing: m.StoreFailing,
+		Position:     directory.Position{Era: m.Era, Revision: m.Revision},
+		Confirmation: registry.Confirmation{Source: m.ConfirmedBy, Number: m.Confirmation},
+		Age:          milliseconds(m.AgeMs), Watching: m.Watching, Leaving: m.Leaving, StoreFailing: m.StoreFailing,
 		Load:     placement.Load{InProgress: make(map[directory.Cookie]int, len(m.Working))},
 		Watchers: make(map[netip.Addr]time.Duration, len(m.Watchers)),
 		Zones:    make(map[ZoneID]time.Duration, len(m.HeardZones)),
@@ -108,9 +109,10 @@
 
 // encodeReading encodes a reading that was confirmed age before now. It compresses
 // large values with p.
-func encodeReading(r registry.Reading, age time.Duration, now time.Time, p *packer) (*peerapi.FetchItemsResponse, error) {
+func encodeReading(r registry.Reading, c registry.Confirmation, age time.Duration, now time.Time, p *packer) (*peerapi.FetchItemsResponse, error) {
 	m := &peerapi.FetchItemsResponse{
 		Era: r.Era, Revision: r.Revision, Complete: r.Complete, ReadingAgeMs: uint64(min(maxAge, age).Milliseconds()),
+		ConfirmedBy: c.Source, Confirmation: c.Number,
 	}
 	for _, i := range r.Items {
 		value, packed, err := p.pack(i)
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -14,6 +14,7 @@
 
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/placement"
+	"knapweedshore.example/internal/registry"
 )
 
 // maxWatchingZones is the number of zones with a daemon that watches the store. The
@@ -75,10 +76,11 @@
 	// Start is the start time of the process in Unix nanoseconds, and Sequence the
 	// number of the report in that process.
 	Start, Sequence uint64
-	// Position is the position of the sender's directory, Age the time since that was
-	// confirmed to be the newest one.
-	Position directory.Position
-	Age      time.Duration
+	// Position is the position of the sender's directory, Confirmation the last one that
+	// it was the newest, and Age the time since then.
+	Position     directory.Position
+	Confirmation registry.Confirmation
+	Age          time.Duration
 	// Watching reports whether the sender watches the store, Leaving whether it is
 	// about to stop.
 	Watching, Leaving bool
--- a/internal/exchange/table_test.go
+++ b/internal/exchange/table_test.go
@@ -476,7 +476,7 @@
 func TestReportsFitIntoOnePacket(t *testing.T) {
 	is := is.New(t)
 	r := Report{VM: "front-cartago-norte-10", Zone: "cartago-norte", Start: 1 << 60, Sequence: 1 << 40, Position: directory.Position{Era: 1 << 40, Revision: 1 << 40},
-		Age: time.Hour, Watching: true, Load: placement.Load{InProgress: map[directory.Cookie]int{}}, Watchers: map[netip.Addr]time.Duration{}, Zones: map[ZoneID]time.Duration{}}
+		Confirmation: registry.Confirmation{Source: 1 << 63, Number: 1 << 40}, Age: time.Hour, Watching: true, Load: placement.Load{InProgress: map[directory.Cookie]int{}}, Watchers: map[netip.Addr]time.Duration{}, Zones: map[ZoneID]time.Duration{}}
 	for i := range maxReportedZones {
 		r.Zones[ZoneID(1<<31+i)] = time.Hour
 	}
@@ -513,8 +513,11 @@
 	reading := registry.Reading{Position: position, Complete: true, Items: []registry.Item{
 		{Key: "s", Value: []byte("last"), Revision: 7, Created: 2, Deleted: true, Lost: true, ReadAt: epoch},
 	}}
-	m, err := encodeReading(reading, 0, epoch, newPacker())
+	m, err := encodeReading(reading, registry.Confirmation{Source: 1 << 63, Number: 9}, time.Minute, epoch, newPacker())
 	is.NoErr(err)
+	is.Equal(m.ConfirmedBy, uint64(1<<63))
+	is.Equal(m.Confirmation, uint64(9))
+	is.Equal(m.ReadingAgeMs, uint64(time.Minute.Milliseconds()))
 	got, err := decodeReading(m, epoch)
 	is.NoErr(err)
 	is.Equal(got, reading)
@@ -529,11 +532,11 @@
 	item := registry.Item{Key: "config", Value: value, Revision: 7, ReadAt: epoch}
 	small := registry.Item{Key: "s", Value: []byte("small"), Revision: 8, ReadAt: epoch}
 	reading := registry.Reading{Position: directory.Position{Revision: 8}, Items: []registry.Item{item, small}}
-	m, err := encodeReading(reading, time.Second, epoch, p)
+	m, err := encodeReading(reading, registry.Confirmation{}, time.Second, epoch, p)
 	is.NoErr(err)
 	is.True(len(m.Items[0].Value) < len(value)/10)
 	is.True(!m.Items[1].Packed)
-	again, err := encodeReading(reading, time.Second, epoch, p)
+	again, err := encodeReading(reading, registry.Confirmation{}, time.Second, epoch, p)
 	is.NoErr(err)
 	is.True(&again.Items[0].Value[0] == &m.Items[0].Value[0])
 	got, err := decodeReading(m, epoch)
@@ -541,14 +544,14 @@
 	is.Equal(got, reading)
 
 	reading.Items[0].Revision, reading.Items[0].Value = 9, []byte(strings.Repeat("x", minPackSize))
-	m, err = encodeReading(reading, time.Second, epoch, p)
+	m, err = encodeReading(reading, registry.Confirmation{}, time.Second, epoch, p)
 	is.NoErr(err)
 	got, err = decodeReading(m, epoch)
 	is.NoErr(err)
 	is.Equal(got.Items[0].Value, reading.Items[0].Value)
 
 	reading.Items[0].Value = value // a restored store assigns revision 9 again
-	m, err = encodeReading(reading, time.Second, epoch, p)
+	m, err = encodeReading(reading, registry.Confirmation{}, time.Second, epoch, p)
 	is.NoErr(err)
 	got, err = decodeReading(m, epoch)
 	is.NoErr(err)
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -22,15 +22,23 @@
 	return d
 }
 
-// Mark records that the loop runs at now.
+// Mark records that the loop runs at now. It does nothing if a later time is marked.
 func (d *Detector) Mark(now time.Time) {
-	d.mono.Store(int64(now.Sub(d.base)))
+	mono := int64(now.Sub(d.base))
+	if mono < d.mono.Load() {
+		return
+	}
+	d.mono.Store(mono)
 	d.wall.Store(now.UnixNano())
 }
 
 // Gap returns the time since the last Mark, by the clock that advanced further.
 func (d *Detector) Gap(now time.Time) time.Duration {
-	mono := int64(now.Sub(d.base)) - d.mono.Load()
-	wall := now.UnixNano() - d.wall.Load()
-	return time.Duration(max(mono, wall))
+	mono, wall := d.gaps(now)
+	return max(mono, wall)
+}
+
+// gaps returns the time since the last Mark by the monotonic and by the wall clock.
+func (d *Detector) gaps(now time.Time) (mono, wall time.Duration) {
+	return time.Duration(int64(now.Sub(d.base)) - d.mono.Load()), time.Duration(now.UnixNano() - d.wall.Load())
 }
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -14,6 +14,7 @@
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/events"
 	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/pause"
 	"knapweedshore.example/internal/wait"
 )
 
@@ -40,6 +41,8 @@
 	firstWatchWait = 20 * time.Millisecond
 	// expireInterval is the interval at which missing servers are checked for expiry.
 	expireInterval = 250 * time.Millisecond
+	// minPause is the shortest time without running that counts as a pause.
+	minPause = 600 * time.Millisecond
 	// roleCheckInterval is the interval at which a daemon that does not watch the
 	// store checks whether it should.
 	roleCheckInterval = 50 * time.Millisecond
@@ -74,12 +77,9 @@
 	// daemon stops watching.
 	watching atomic.Bool
 	// failing is true from a failed call until one succeeds or the daemon stops watching.
-	failing atomic.Bool
-	// start is the time of creation. confirmedAt is the time of the last
-	// confirmation in nanoseconds since start, on the monotonic clock, so that steps
-	// of the wall clock do not change ages.
-	start       time.Time
-	confirmedAt atomic.Int64
+	failing   atomic.Bool
+	freshness *freshness
+	pauses    *pause.Monitor
 
 	mu       sync.Mutex // guards state and builder, and orders calls of onChange
 	state    *State
@@ -97,6 +97,9 @@
 	Watch WatchTimes
 	// Keep is how long servers are kept. The zero value means directory.DefaultRetention.
 	Keep directory.Retention
+	// Pauses, if set, is the monitor of the process's pauses. Messages that have waited in
+	// a socket meanwhile do not tell what is current.
+	Pauses *pause.Monitor
 	// Prefetch, if set, fetches a complete directory from a peer before the first
 	// call to the store. It reports whether it got and merged one.
 	Prefetch func(ctx context.Context) bool
@@ -130,6 +133,9 @@
 	if o.Prefetch == nil {
 		o.Prefetch = func(context.Context) bool { return false }
 	}
+	if o.Pauses == nil {
+		o.Pauses = pause.NewMonitor(time.Now(), minPause)
+	}
 	if o.Keep == (directory.Retention{}) {
 		o.Keep = directory.DefaultRetention
 	}
@@ -139,7 +145,7 @@
 		return directory.Supersedes(nextChange, knownChange)
 	}
 	f := &Follower{
-		start: time.Now(), watchTimes: o.Watch, prefetch: o.Prefetch, source: o.Source, decoder: o.Decoder, log: o.Log, metrics: o.Metrics,
+		freshness: newFreshness(rand.Uint64()), pauses: o.Pauses, watchTimes: o.Watch, prefetch: o.Prefetch, source: o.Source, decoder: o.Decoder, log: o.Log, metrics: o.Metrics,
 		state: NewState(supersedes), builder: directory.NewBuilderWith(o.Keep),
 	}
 	f.position.Store(&directory.Position{})
@@ -160,27 +166,40 @@
 // that the directory is the newest one. It is the maximum duration before the
 // first confirmation.
 func (f *Follower) Age(now time.Time) time.Duration {
-	at := f.confirmedAt.Load()
-	if at == 0 {
-		return time.Duration(1<<63 - 1)
+	_, age := f.Freshness(now)
+	return age
+}
+
+// Freshness returns the last confirmation that the directory is the newest one, and its
+// age. Before the first one, the confirmation is zero and the age the maximum duration.
+// A caller that passes them on with a position must read the position afterwards.
+func (f *Follower) Freshness(now time.Time) (Confirmation, time.Duration) {
+	f.freshness.handlePause(f.pauses.Tick(now))
+	last, ok := f.freshness.latest()
+	if !ok {
+		return Confirmation{}, time.Duration(1<<63 - 1)
 	}
-	return max(0, now.Sub(f.start)-time.Duration(at))
+	return last.Confirmation, max(0, now.Sub(last.at))
 }
 
-// Confirm records that p was the newest position of the store at a time. It has no effect
-// while this daemon is behind p, or if p belongs to an earlier era: who confirms it may
-// not have noticed that the store was restored.
-func (f *Follower) Confirm(p directory.Position, at time.Time) {
-	if own := f.Position(); p.Era != own.Era || p.IsAfter(own) {
+// Confirm records that p was the newest position of the store at the date of a confirmation.
+// It came with a message that is read now and states its age. Confirm has no effect while
+// this daemon is behind p, or if p belongs to an earlier era: who confirms it may not have
+// noticed that the store was restored.
+func (f *Follower) Confirm(p directory.Position, c Confirmation, age time.Duration, now time.Time) {
+	f.freshness.handlePause(f.pauses.Tick(now))
+	at, ok := f.freshness.date(c, now.Add(-age-f.pauses.MaxWait(now)))
+	own := f.Position()
+	if !ok || p.Era != own.Era || p.IsAfter(own) {
 		return
 	}
-	next := int64(at.Sub(f.start))
-	for {
-		old := f.confirmedAt.Load()
-		if next <= old || f.confirmedAt.CompareAndSwap(old, next) {
-			return
-		}
-	}
+	f.freshness.confirm(c, at)
+}
+
+// confirmFromStore records that p was the newest position of the store at most age before
+// its answer was read.
+func (f *Follower) confirmFromStore(p directory.Position, age time.Duration, now time.Time) {
+	f.Confirm(p, f.freshness.next(), age, now)
 }
 
 // Position returns the position of the store up to which all changes are known.
@@ -293,7 +312,8 @@
 	changed := f.Merge(reading, "store")
 	f.log.Log(events.StoreListed, append(positionFields(reading.Position), zap.Stringer("own_position", before),
 		zap.Int("items", len(reading.Items)), zap.Int("changed", changed))...)
-	f.Confirm(reading.Position, sentAt)
+	now := time.Now()
+	f.confirmFromStore(reading.Position, now.Sub(sentAt), now)
 	return nil
 }
 
@@ -314,7 +334,7 @@
 		return errors.Wrapf(ErrHistoryLost, "watch of era %d after position %s", reading.Era, after)
 	}
 	f.Merge(reading, "store")
-	f.Confirm(reading.Position, time.Now())
+	f.confirmFromStore(reading.Position, 0, time.Now())
 	if len(reading.Items) > 0 {
 		wait.For(ctx, CoalesceDelay)
 	}
@@ -395,8 +415,11 @@
 // expire retires servers whose registration has been missing for too long.
 func (f *Follower) expire(ctx context.Context) {
 	for wait.For(ctx, expireInterval) {
+		now := time.Now()
+		f.freshness.handlePause(f.pauses.Tick(now))
 		f.mu.Lock()
-		if f.builder.Expire(time.Now(), f.start.Add(time.Duration(f.confirmedAt.Load()))) {
+		confirmed, _ := f.freshness.latest()
+		if f.builder.Expire(now, confirmed.at) {
 			f.publish("expiry")
 		}
 		f.mu.Unlock()
--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -413,10 +413,10 @@
 		is.Equal(s.calls(), 1) // the first listing
 		f.Merge(Reading{Position: directory.Position{Revision: 5}, Items: []Item{{Key: "config", Value: []byte("4"), Revision: 5}}}, "peer")
 		is.Equal(version(f), uint64(4))
-		f.Confirm(directory.Position{Revision: 5}, time.Now())
+		f.Confirm(directory.Position{Revision: 5}, Confirmation{Source: 1, Number: 1}, 0, time.Now())
 		is.Equal(f.Age(time.Now()), time.Duration(0))
-		f.Confirm(directory.Position{Revision: 6}, time.Now().Add(time.Hour)) // ignored: the daemon is behind this revision
-		f.Confirm(directory.Position{Era: 1, Revision: 4}, time.Now().Add(time.Hour))
+		f.Confirm(directory.Position{Revision: 6}, Confirmation{Source: 1, Number: 2}, -time.Hour, time.Now()) // ignored: the daemon is behind this revision
+		f.Confirm(directory.Position{Era: 1, Revision: 4}, Confirmation{Source: 1, Number: 3}, -time.Hour, time.Now())
 		time.Sleep(time.Minute)
 		is.Equal(f.Age(time.Now()), time.Minute)
 		is.Equal(s.calls(), 0)
