Bound the log lines about refused store items, test odd entries

Reported from other systems: an entry of another writer among those of the servers, deeply nested, with a number too large or with a port out of range, ended the machines that read it, or they stopped following the list.

Looked for here: entries of these kinds, of up to 1 MB, before the start of two daemons and again while they run, one of which gets them from the other. Neither ends nor stops: the decoder refuses each of them (encoding/json limits the depth, ports and numbers are checked), event 321 names it, and a configuration written afterwards is in force.

Found: the reason in event 321 quotes the value. A line of more than 256 KiB does not fit into the log's buffer and is dropped, so an entry with a long address was refused without a trace, and a writer that repeats a shorter one could fill the log.

Change: the reason is cut after 500 bytes, and event 321 is limited to 20 lines a second, like other events about servers.

Result: TestOddEntriesDoNotStopTheDirectory failed at the length of the reason before and passes now; the cases of TestDecodeRejectsInvalidRegistrations passed without a change.

--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -379,6 +379,48 @@
 	}
 }
 
+// Guards against an entry of another writer among the servers that ends the daemons, stops
+// them from following the store, or floods or hides their logs.
+func TestOddEntriesDoNotStopTheDirectory(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.addBackend(1, "a")
+	registration := func(service, address, slots string) []byte {
+		return []byte(`{"service":"` + service + `","address":"` + address + `","zone":"a","version":"v1","slots":` + slots +
+			`,"state":"ready","cold_remaining_ms":0,"seq":1}`)
+	}
+	odd := map[string][]byte{
+		"servers/i-odd1": registration("s", "10.0.0.1:80", "1"),
+		"servers/i-0dd2": []byte(strings.Repeat(`{"a":`, 100_000)),
+		"servers/i-0dd3": registration("s", "10.0.0.1:80", strings.Repeat("9", 100_000)),
+		"servers/i-0dd4": registration("s", "10.0.0.1:70000", "1"),
+		"servers/i-0dd5": registration("s", strings.Repeat("x", 500_000), "1"),
+	}
+	put := func() {
+		for key, value := range odd {
+			s.store.Put(key, value)
+		}
+	}
+	put()
+	daemons := []*daemon{s.start("a"), s.start("a")} // one of them gets the entries from the other
+	s.awaitReady(daemons...)
+	put()
+	added := netip.MustParseAddrPort("198.18.0.2:443")
+	s.configure(2, serviceAddr, added)
+	for _, d := range daemons {
+		s.await("new route at "+d.settings.Name, 3*time.Second, func() bool {
+			_, err := s.request(d, added)
+			return err == nil
+		})
+		refused := map[string]bool{}
+		for _, line := range d.logs.FilterMessage(events.ItemRefused.Message).All() {
+			refused["servers/"+line.ContextMap()["subject"].(string)] = true
+			is.True(len(line.ContextMap()["reason"].(string)) < 1000)
+		}
+		is.Equal(len(refused), len(odd))
+	}
+}
+
 // Guards against new flows to a server more than 3 s after it has announced that it
 // is draining, and against open flows that lose their server.
 func TestDrainingServer(t *testing.T) {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -7,8 +7,8 @@
 	warnLevel  = zapcore.WarnLevel
 	errorLevel = zapcore.ErrorLevel
 
-	// flowLinesPerSecond and serverLinesPerSecond limit events that traffic
-	// causes, about a flow and about a server. One line takes about 10 µs and
+	// flowLinesPerSecond and serverLinesPerSecond limit events that traffic or other
+	// writers of the store cause, about a flow and about a server. One line takes about 10 µs and
 	// 300 bytes.
 	flowLinesPerSecond   = 200
 	serverLinesPerSecond = 20
@@ -54,7 +54,7 @@
 	StoreRecovered    = Event{Number: 311, Level: infoLevel, Message: "store answers again", Action: "none"}
 
 	DirectoryApplied  = Event{Number: 320, Level: infoLevel, Message: "directory applied", Action: "none"}
-	ItemRefused       = Event{Number: 321, Level: warnLevel, Message: "store item refused", Action: "find the writer of the item"}
+	ItemRefused       = Event{Number: 321, Level: warnLevel, Message: "store item refused", Action: "find the writer of the item", PerSecond: serverLinesPerSecond}
 	StoreWatchChanged = Event{Number: 322, Level: infoLevel, Message: "store watch started or stopped", Action: "none"}
 	DirectoryFromPeer = Event{Number: 324, Level: infoLevel, Message: "directory fetched from a peer at startup", Action: "none"}
 	StoreRestored     = Event{Number: 326, Level: warnLevel, Message: "store was restored from a backup", Action: "check that the operators' last changes are in the store"}
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,8 @@
 	expireInterval = 250 * time.Millisecond
 	// minPause is the shortest time without running that counts as a pause.
 	minPause = 600 * time.Millisecond
+	// maxReasonLength is the maximum length in bytes of the logged reason of a refusal.
+	maxReasonLength = 500
 	// roleCheckInterval is the interval at which a daemon that does not watch the
 	// store checks whether it should.
 	roleCheckInterval = 50 * time.Millisecond
@@ -366,7 +369,7 @@
 	}
 	refused := f.builder.Apply(changes, f.state.Position(), now)
 	for _, x := range refused {
-		f.log.Log(events.ItemRefused, zap.Uint64("revision", x.Revision), zap.String("subject", x.Subject), zap.String("reason", x.Reason))
+		f.log.Log(events.ItemRefused, zap.Uint64("revision", x.Revision), zap.String("subject", x.Subject), zap.String("reason", truncate(x.Reason)))
 	}
 	after := f.state.Position()
 	if len(changes) > 0 || after.IsAfter(before) {
@@ -376,6 +379,14 @@
 	return len(items)
 }
 
+// truncate shortens the reason of a refusal, which may quote a value of any size.
+func truncate(reason string) string {
+	if len(reason) <= maxReasonLength {
+		return reason
+	}
+	return strings.ToValidUTF8(reason[:maxReasonLength], "") + "..."
+}
+
 // decode returns the change that an item stands for. It reports false if the item does not
 // concern the directory. The change of a deleted server includes the server's last record.
 func decode(d Decoder, i Item) (directory.Change, bool) {
