List the store when the changes since the last watch are too large

Cause: the client reads at most 8 MiB of an answer. When the connections to the store had gone silent amid 25 versions of 580 KB, the answer to the next watch was larger, was cut off, did not decode and counted as an unavailable store. The same watch was repeated until the store had dropped its history.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -14,8 +14,8 @@
 // Errors of a Source.
 var (
 	// ErrHistoryLost means that the source no longer has the changes after the
-	// requested revision, or was restored meanwhile. Only a new listing returns the
-	// current state.
+	// requested revision, was restored meanwhile, or has more of them than an answer may
+	// hold. Only a new listing returns the current state.
 	ErrHistoryLost = errors.New("history is no longer available")
 	// ErrThrottled means that the source refused a call because of its rate limit.
 	ErrThrottled = errors.New("call rate exceeded")
