Let a shared cookie stay with the server that started first

Cause: of two servers with one cookie, the earlier registration had it. A registration that expires and comes back has a new creation revision, so the cookie changed hands while the first server had open flows.

Change: the start of the server's process decides, which it states in its registration and which an outage does not change. The creation revision decides only between servers that state no start, and those come after the others, so that an entry of another writer does not take a cookie from a server.

Open: the second of two such servers gets no flows at all. A cookie that mixes all bits of the id would make that a matter of chance, but needs an upgrade in which both kinds are understood.

--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -321,27 +322,38 @@
 	return d
 }
 
-// serversByPriority returns the servers in the order in which they claim cookies:
-// retired ones last, then by first registration, which is the same for all daemons.
+// serversByPriority returns the servers in the order in which they claim cookies, which is
+// the same for all daemons: retired ones last, then by the start of their processes, which
+// does not change when a registration expires and comes back. The creation of the
+// registration decides only between servers that do not state their start.
 func (b *Builder) serversByPriority() []*Server {
 	servers := make([]*Server, 0, len(b.servers))
 	for _, s := range b.servers {
 		servers = append(servers, s)
 	}
-	slices.SortFunc(servers, func(x, y *Server) int {
-		if x.Retired != y.Retired {
-			if x.Retired {
-				return 1
-			}
-			return -1
-		}
-		if x.CreateRevision != y.CreateRevision {
-			if x.CreateRevision < y.CreateRevision {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(x.Name, y.Name)
-	})
+	slices.SortFunc(servers, compareClaims)
 	return servers
 }
+
+// compareClaims orders x before y if its claim to a cookie that both have comes first.
+func compareClaims(x, y *Server) int {
+	switch {
+	case x.Retired != y.Retired:
+		return falseFirst(x.Retired)
+	case (x.Started == 0) != (y.Started == 0):
+		return falseFirst(x.Started == 0)
+	case x.Started != y.Started:
+		return cmp.Compare(x.Started, y.Started)
+	case x.Started == 0 && x.CreateRevision != y.CreateRevision:
+		return cmp.Compare(x.CreateRevision, y.CreateRevision)
+	}
+	return strings.Compare(x.Name, y.Name)
+}
+
+// falseFirst returns the order of x and another value for which the condition differs.
+func falseFirst(x bool) int {
+	if x {
+		return 1
+	}
+	return -1
+}
--- a/internal/directory/builder_test.go
+++ b/internal/directory/builder_test.go
@@ -69,6 +69,29 @@
 	}
 }
 
+// Guards against a shared cookie that moves to the other server, which resets the flows of
+// the first one, when registrations expire and come back in another order (review case 5).
+func TestCollidingCookieStaysWithItsServer(t *testing.T) {
+	is := is.New(t)
+	register := func(name string, number uint64, started int64, createRevision uint64) Change {
+		s := testServer(name, number, createRevision)
+		s.Started = started
+		return Change{Server: s}
+	}
+	b := NewBuilder()
+	d := applyAndBuild(t, b, epoch, register("i-1", 3, 1000, 10), register("i-2", 1<<32|2, 2000, 20))
+	is.Equal(d.ByCookie(3).Name, "i-1")
+	d = applyAndBuild(t, b, epoch.Add(time.Second), Change{Deleted: "i-1"}, Change{Deleted: "i-2"})
+	is.Equal(d.ByCookie(3).Name, "i-1")
+	d = applyAndBuild(t, b, epoch.Add(2*time.Second), register("i-2", 1<<32|2, 2000, 30))
+	is.Equal(d.ByCookie(3).Name, "i-1")
+	d = applyAndBuild(t, b, epoch.Add(2*time.Second), register("i-1", 3, 1000, 40))
+	is.Equal(d.ByCookie(3).Name, "i-1")
+	// Servers that started in the same millisecond, and an entry that states no start.
+	d = applyAndBuild(t, b, epoch.Add(2*time.Second), register("i-2", 1<<32|2, 1000, 30), register("i-3", 2<<32|1, 0, 5))
+	is.Equal(d.ByCookie(3).Name, "i-1")
+}
+
 // Guards against new flows to a draining server, and against open flows that
 // break because their server is draining or has deregistered.
 func TestDrainingServersKeepTheirFlows(t *testing.T) {
