Bound the age in a fetched response before it is converted

The heartbeats' age was bounded first already.

Result: TestAgeOfAPeerCannotOverflow failed before and passes now. The entry daemon does not use this package.

--- a/internal/tablesync/fetch.go
+++ b/internal/tablesync/fetch.go
@@ -81,7 +81,7 @@
 			return err
 		}
 	}
-	age := min(time.Duration(r.GetAgeMs())*time.Millisecond, maxAge)
+	age := time.Duration(min(r.GetAgeMs(), uint64(maxAge.Milliseconds()))) * time.Millisecond
 	s.confirm(tables.Version(r.GetVersion()), time.Now().Add(-age))
 	return nil
 }
--- a/internal/tablesync/syncer_test.go
+++ b/internal/tablesync/syncer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -188,6 +189,24 @@
 	})
 }
 
+// Guards against an age in a peer's response that overflows and confirms the tables for a
+// time in the future, so that nothing tells that they are old.
+func TestAgeOfAPeerCannotOverflow(t *testing.T) {
+	is := is.New(t)
+	address := netip.MustParseAddrPort("10.0.0.1:1")
+	table, err := member.New(member.Config{Events: events.Discard(), Metrics: metrics.NewRegistry(), Self: member.Member{
+		Name: "vm-0", Region: "cartago", Zone: "z", Capacity: 1, Control: address, Data: address,
+	}})
+	is.NoErr(err)
+	for _, ms := range []uint64{1 << 44, 1 << 53, 1 << 60, 1<<64 - 1} {
+		s, err := New(Config{Members: table, Store: newFakeStore(), Events: events.Discard(), Metrics: metrics.NewRegistry()})
+		is.NoErr(err)
+		confirmedAt := s.confirmedAt
+		is.NoErr(s.applyResponse(&peerapi.FetchTablesResponse{AgeMs: ms}, "vm-1", nil))
+		is.Equal(s.confirmedAt, confirmedAt)
+	}
+}
+
 // Guards against changes of a restored store that are applied to tables of the lost
 // history, and against daemons that never switch to the new history. The last step also
 // covers a base that the daemons must read from the store.
