--- a/internal/cookie/engine_test.go
+++ b/internal/cookie/engine_test.go
@@ -183,7 +183,8 @@
 	h.send(Packet{Cookie: opened, PayloadLen: 10})
 	h.now = h.now.Add(15 * time.Second)
 	h.engine.Expire(h.now)
-	v := h.send(Packet{Cookie: 3 - opened, PayloadLen: 10})
+	other := 3 - opened // the cookies are 1 and 2
+	v := h.send(Packet{Cookie: other, PayloadLen: 10})
 	h.is.Equal(v.To, h.directories.endpoint(opened))
 }
 
