Carry evidence about servers in the reports

Cause: the parts for silent, starting, overloaded and failing servers each need what other daemons have observed, and nothing carried it. Change: a package for evidence, four bounded lists in a report (6 silences, 4 proofs of life, 8 paces, 8 outcomes, most urgent first), merged by sources that the parts add; the load of some servers is left out first when a report would exceed one packet. No source is registered yet, so that reports are as before.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -21,6 +21,7 @@
 	"knapweedshore.example/internal/cookie"
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/evidence"
 	"knapweedshore.example/internal/exchange"
 	"knapweedshore.example/internal/metrics"
 	"knapweedshore.example/internal/pause"
@@ -75,6 +76,7 @@
 	engine   *cookie.Engine
 	table    *exchange.PeerTable
 	exchange *exchange.Exchange
+	evidence *evidence.Pool
 	pauses   *pause.Monitor
 	leaving  atomic.Bool
 	killed   chan struct{}
@@ -102,6 +104,7 @@
 			return d.follower.Position(), d.follower.Age(now)
 		},
 	})
+	d.evidence = evidence.NewPool()
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -127,7 +130,7 @@
 	}
 	peers, err := exchange.New(exchange.Options{
 		VM: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.PeerListen, Table: d.table,
-		Follower: d.follower, Placer: d.placer, Metrics: o.Metrics, Log: o.Log,
+		Follower: d.follower, Placer: d.placer, Evidence: d.evidence, Pauses: d.pauses, Metrics: o.Metrics, Log: o.Log,
 	})
 	if err != nil {
 		_ = data.Close()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -13,7 +13,9 @@
 
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/evidence"
 	"knapweedshore.example/internal/metrics"
+	"knapweedshore.example/internal/pause"
 	"knapweedshore.example/internal/placement"
 	"knapweedshore.example/internal/registry"
 	"knapweedshore.example/internal/wait"
@@ -29,8 +31,12 @@
 	Table    *PeerTable
 	Follower *registry.Follower
 	Placer   *placement.Placer
-	Metrics  *metrics.Registry
-	Log      *events.Logger
+	// Evidence is what the daemons know of the servers.
+	Evidence *evidence.Pool
+	// Pauses knows how long a report may have waited in the socket.
+	Pauses  *pause.Monitor
+	Metrics *metrics.Registry
+	Log     *events.Logger
 }
 
 // Exchange sends and receives reports, and fetches directory items from peers and
@@ -111,24 +117,25 @@
 	tasks.Wait()
 }
 
-// report returns an encoded report about this daemon.
-func (e *Exchange) report(now time.Time) ([]byte, error) {
+// report returns an encoded report about this daemon to its own zone or to other zones.
+func (e *Exchange) report(ownZone bool, now time.Time) ([]byte, error) {
 	f := e.options.Follower
 	confirmation, age := f.Freshness(now) // read before the position that it confirms
 	return encodeReport(Report{
 		VM: e.options.VM, Zone: e.options.Zone, Start: e.start, Sequence: e.sequence.Add(1),
 		Position: f.Position(), Confirmation: confirmation, Age: min(maxAge, age), Watching: f.Watching(), Leaving: e.leaving.Load(), StoreFailing: f.StoreFailing(),
 		Load: e.options.Placer.Load(now), Watchers: e.options.Table.Watchers(now),
-		Zones: e.options.Table.HeardZones(now),
+		Zones: e.options.Table.HeardZones(now), Evidence: e.options.Evidence.Report(ownZone, now),
 	})
 }
 
-// sendReport sends one report to each of the addresses.
-func (e *Exchange) sendReport(to []netip.Addr) {
+// sendReport sends one report to each of the addresses, which are in the own zone or in
+// other zones.
+func (e *Exchange) sendReport(to []netip.Addr, ownZone bool) {
 	if len(to) == 0 {
 		return
 	}
-	b, err := e.report(time.Now())
+	b, err := e.report(ownZone, time.Now())
 	if err != nil {
 		e.options.Log.Log(events.DaemonFailed, zap.String("part", "report"), events.ErrorMessage(err))
 		return
@@ -147,7 +154,7 @@
 func (e *Exchange) reportToZone(ctx context.Context) {
 	for ctx.Err() == nil {
 		round := e.options.Table.NextZoneRound()
-		e.sendReport(round.Peers)
+		e.sendReport(round.Peers, true)
 		if !wait.For(ctx, round.MinInterval) {
 			return
 		}
@@ -170,7 +177,7 @@
 // in turn.
 func (e *Exchange) reportToOtherZones(ctx context.Context) {
 	for wait.For(ctx, crossZoneInterval) {
-		e.sendReport(e.options.Table.NextCrossZoneBatch())
+		e.sendReport(e.options.Table.NextCrossZoneBatch(), false)
 	}
 }
 
@@ -207,6 +214,7 @@
 		return
 	}
 	e.options.Placer.SetPeerLoad(from.String(), r.Load, now)
+	e.options.Evidence.Record(evidence.Peer{Addr: from, Zone: r.Zone}, r.Evidence, now.Add(-e.options.Pauses.MaxWait(now)))
 	e.options.Follower.Confirm(r.Position, r.Confirmation, r.Age, now)
 	if r.Position.IsAfter(e.options.Follower.Position()) {
 		signal(e.fetchDue)
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -51,6 +51,11 @@
 		}
 		m.HeardZones = append(m.HeardZones, &peerapi.HeardZone{ZoneId: uint32(zone), AgeMs: uint64(age.Milliseconds())})
 	}
+	encodeEvidence(m, r.Evidence)
+	// The load of some servers is the part that a report can best do without.
+	for proto.Size(m) > maxReportSize && len(m.Working) > 0 {
+		m.Working = m.Working[:len(m.Working)*3/4]
+	}
 	b, err := proto.Marshal(m)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode report")
@@ -80,6 +85,7 @@
 		Watchers: make(map[netip.Addr]time.Duration, len(m.Watchers)),
 		Zones:    make(map[ZoneID]time.Duration, len(m.HeardZones)),
 	}
+	r.Evidence = decodeEvidence(&m)
 	for _, w := range m.Working {
 		r.Load.InProgress[directory.Cookie(w.Cookie)] = int(min(w.Requests, maxReportedRequests))
 	}
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"knapweedshore.example/internal/directory"
+	"knapweedshore.example/internal/evidence"
 	"knapweedshore.example/internal/placement"
 	"knapweedshore.example/internal/registry"
 )
@@ -88,6 +89,8 @@
 	StoreFailing bool
 	// Load is the load of the servers as the sender knows it.
 	Load placement.Load
+	// Evidence is what the sender knows of the servers.
+	Evidence evidence.Report
 	// Watchers holds the age of the last report of each watcher of the sender's zone
 	// that the sender knows of.
 	Watchers map[netip.Addr]time.Duration
