Compress complete directories between daemons

Cause: a complete directory of 3,000 servers is about 700 KB, which takes over half a second on a link of 10 Mbit/s, longer than a fetch waits, so that starting daemons fetched it again; and a daemon encoded it for each peer before it refused it as busy. Change: large responses are compressed for callers that accept it, and the limit on large responses is asked before the work of encoding.

--- a/internal/exchange/fetch.go
+++ b/internal/exchange/fetch.go
@@ -10,7 +10,6 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmanager"
@@ -52,6 +51,8 @@
 	largeResponseSize = 8 << 10
 	maxLargeResponses = 2
 	largeSendTime     = 50 * time.Millisecond
+	// expectedPackRatio is by how much a large value shrinks at least.
+	expectedPackRatio = 8
 	// codeBusy is the drpc error code for refusing a large response.
 	codeBusy = 1
 	// acceptRetryDelay is the pause after a failed accept or read, most likely because
@@ -141,7 +142,7 @@
 	defer cancel()
 	have := e.options.Follower.Position()
 	response, err := peerapi.NewDRPCDirectoryClient(conn).FetchItems(ctx, &peerapi.FetchItemsRequest{
-		HaveEra: have.Era, HaveRevision: have.Revision,
+		HaveEra: have.Era, HaveRevision: have.Revision, AcceptPacked: true,
 	})
 	if err != nil {
 		return errors.Wrap(err, "fetch items")
@@ -193,7 +194,7 @@
 	defer func() { _ = conn.Close() }() // the response has been read or abandoned
 	ctx, cancel := context.WithTimeout(ctx, prefetchTimeout)
 	defer cancel()
-	response, err := peerapi.NewDRPCDirectoryClient(conn).FetchItems(ctx, &peerapi.FetchItemsRequest{})
+	response, err := peerapi.NewDRPCDirectoryClient(conn).FetchItems(ctx, &peerapi.FetchItemsRequest{AcceptPacked: true})
 	if err != nil {
 		e.options.Metrics.Retried(metrics.LinkBroken)
 		return false
@@ -247,20 +248,39 @@
 	e := s.exchange
 	confirmation, age := e.options.Follower.Freshness(now) // read before the position that it confirms
 	reading := e.options.Follower.ChangesSince(directory.Position{Era: r.HaveEra, Revision: r.HaveRevision})
-	response, err := encodeReading(reading, confirmation, age, now, e.packer)
-	if err != nil {
-		return nil, err
+	large := readingSize(reading) > largeResponseSize
+	if large {
+		// Before the work of encoding: a daemon that refuses hundreds of starting peers
+		// must go on forwarding.
+		select {
+		case e.largeResponses <- struct{}{}:
+		default:
+			return nil, drpcerr.WithCode(errors.New("busy with other daemons"), codeBusy)
+		}
+		// The response is sent after this method returns. Release the semaphore when even
+		// a slow link should have sent it.
+		time.AfterFunc(largeSendTime, func() { <-e.largeResponses })
 	}
-	if proto.Size(response) <= largeResponseSize {
-		return response, nil
+	response, err := encodeReading(reading, confirmation, age, now, e.packer)
+	if err != nil || !large || !r.AcceptPacked {
+		return response, err
 	}
-	select {
-	case e.largeResponses <- struct{}{}:
-	default:
-		return nil, drpcerr.WithCode(errors.New("busy with other daemons"), codeBusy)
+	return response, packItems(response)
+}
+
+// itemOverhead is the approximate size in bytes of an item beside its key and value.
+const itemOverhead = 30
+
+// readingSize returns the approximate size of a reading in a response, with the large
+// values compressed.
+func readingSize(r registry.Reading) int {
+	size := 0
+	for _, i := range r.Items {
+		value := len(i.Value)
+		if value >= minPackSize {
+			value /= expectedPackRatio
+		}
+		size += itemOverhead + len(i.Key) + value
 	}
-	// The response is sent after this method returns. Release the semaphore when even
-	// a slow link should have sent it.
-	time.AfterFunc(largeSendTime, func() { <-e.largeResponses })
-	return response, nil
+	return size
 }
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -136,7 +136,11 @@
 // decodeReading decodes a response that arrived now.
 func decodeReading(m *peerapi.FetchItemsResponse, now time.Time) (registry.Reading, error) {
 	r := registry.Reading{Position: directory.Position{Era: m.Era, Revision: m.Revision}, Complete: m.Complete}
-	for _, i := range m.Items {
+	items, err := unpackItems(m)
+	if err != nil {
+		return registry.Reading{}, err
+	}
+	for _, i := range items {
 		value := i.Value
 		if i.Packed {
 			var err error
--- a/internal/exchange/packer.go
+++ b/internal/exchange/packer.go
@@ -7,8 +7,10 @@
 	"sync"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
 
 	"knapweedshore.example/internal/registry"
+	"knapweedshore.example/peerapi"
 )
 
 const (
@@ -45,19 +47,57 @@
 	if cached, ok := p.packed[i.Key]; ok && bytes.Equal(cached.value, i.Value) {
 		return cached.packed, true, nil
 	}
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	compressed, err := deflate(i.Value)
 	if err != nil {
-		return nil, false, errors.Wrapf(err, "compress item %q", i.Key)
+		return nil, false, errors.Wrapf(err, "item %q", i.Key)
 	}
-	if _, err := w.Write(i.Value); err != nil {
-		return nil, false, errors.Wrapf(err, "compress item %q", i.Key)
+	p.packed[i.Key] = packedValue{value: i.Value, packed: compressed}
+	return compressed, true, nil
+}
+
+// packItems replaces the items of a response by their compressed form.
+func packItems(m *peerapi.FetchItemsResponse) error {
+	b, err := proto.Marshal(&peerapi.PackedItems{Items: m.Items})
+	if err != nil {
+		return errors.Wrap(err, "encode items")
+	}
+	if m.PackedItems, err = deflate(b); err != nil {
+		return errors.Wrap(err, "items")
+	}
+	m.Items = nil
+	return nil
+}
+
+// unpackItems returns the items of a response.
+func unpackItems(m *peerapi.FetchItemsResponse) ([]*peerapi.Item, error) {
+	if len(m.PackedItems) == 0 {
+		return m.Items, nil
+	}
+	b, err := unpack(m.PackedItems)
+	if err != nil {
+		return nil, errors.Wrap(err, "items")
+	}
+	var items peerapi.PackedItems
+	if err := proto.Unmarshal(b, &items); err != nil {
+		return nil, errors.Wrap(err, "decode items")
+	}
+	return items.Items, nil
+}
+
+// deflate compresses b.
+func deflate(b []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	if _, err := w.Write(b); err != nil {
+		return nil, errors.Wrap(err, "compress")
 	}
 	if err := w.Close(); err != nil {
-		return nil, false, errors.Wrapf(err, "compress item %q", i.Key)
+		return nil, errors.Wrap(err, "compress")
 	}
-	p.packed[i.Key] = packedValue{value: i.Value, packed: b.Bytes()}
-	return b.Bytes(), true, nil
+	return out.Bytes(), nil
 }
 
 // unpack decompresses a value.
--- a/internal/exchange/table_test.go
+++ b/internal/exchange/table_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/placement"
@@ -569,3 +570,29 @@
 	_, err = decodeReading(&peerapi.FetchItemsResponse{Items: []*peerapi.Item{{Key: "k", Packed: true, Value: []byte("no")}}}, epoch)
 	is.True(err != nil)
 }
+
+// Guards against complete directories that a starting daemon cannot read in time over a
+// slow link, and against items that the compression changes.
+func TestLargeReadingsArePacked(t *testing.T) {
+	is := is.New(t)
+	reading := registry.Reading{Position: directory.Position{Revision: 9000}, Complete: true}
+	size := 0
+	for i := range 3000 {
+		value := fmt.Appendf(nil, `{"service":"dispatch","address":"10.3.%d.%d:%d","zone":"peninsula","version":"v1","slots":2,"state":"ready","cold_remaining_ms":0,"seq":%d,"born":%d}`,
+			i/250, i%250, 8000+i*7919%1000, i, 1700000000000+i*104729)
+		size += len(value)
+		reading.Items = append(reading.Items, registry.Item{Key: fmt.Sprintf("servers/i-%010x", i*2654435761), Value: value, Revision: uint64(i + 1), ReadAt: epoch})
+	}
+	is.True(readingSize(reading) > size)
+	m, err := encodeReading(reading, registry.Confirmation{}, time.Second, epoch, newPacker())
+	is.NoErr(err)
+	is.NoErr(packItems(m))
+	is.True(proto.Size(m) < size/4)
+	got, err := decodeReading(m, epoch)
+	is.NoErr(err)
+	is.Equal(got, reading)
+
+	m.PackedItems = m.PackedItems[:len(m.PackedItems)/2]
+	_, err = decodeReading(m, epoch)
+	is.True(err != nil)
+}
