Check a configuration before it is sent

Cause: operators learn of a mistake in a configuration only when daemons refuse it or when callers fail.

--- a/cmd/knapweedshorectl/app.go
+++ b/cmd/knapweedshorectl/app.go
@@ -31,7 +31,7 @@
   0  done
   1  failure
   2  wrong usage
-  3  the tables would be invalid; nothing was written
+  3  the tables would be invalid, or "check" found errors; nothing was written
   4  another editor changed the same entry; nothing was written
   5  the store is unavailable; nothing was written
   6  the outcome is unknown; look for the write id with "history --write ID"`
@@ -57,7 +57,7 @@
 		ErrWriter:             errOut,
 		Flags:                 globalFlags(),
 		Commands: []*cli.Command{
-			routeCommand(), poolCommand(), applyCommand(), historyCommand(), statusCommand(), recoverCommand(),
+			routeCommand(), poolCommand(), applyCommand(), historyCommand(), statusCommand(), recoverCommand(), checkCommand(),
 		},
 		Action: usage.MissingCommand,
 		// run prints the error and chooses the exit code.
--- a/cmd/knapweedshorectl/exit.go
+++ b/cmd/knapweedshorectl/exit.go
@@ -7,6 +7,7 @@
 
 	"knapweedshore.example/cmd/usage"
 	"knapweedshore.example/internal/edit"
+	"knapweedshore.example/internal/registry"
 	"knapweedshore.example/internal/store"
 	"knapweedshore.example/internal/tables"
 )
@@ -34,9 +35,10 @@
 		return exitOutcomeUnknown
 	case isType[*edit.ConflictError](err), errors.Is(err, edit.ErrBusy):
 		return exitConflict
-	case isType[*tables.InvalidError](err), isType[*tables.INIError](err):
+	case isType[*tables.InvalidError](err), isType[*tables.INIError](err), errors.Is(err, errFindings):
 		return exitInvalidTables
 	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrThrottled),
+		errors.Is(err, registry.ErrUnavailable), errors.Is(err, registry.ErrThrottled),
 		errors.Is(err, context.DeadlineExceeded):
 		return exitUnavailable
 	}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -195,6 +195,7 @@
 	}
 	e := &Endpoint{store: s, listener: listener, faultChanged: make(chan struct{})}
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv-key", e.get)
 	mux.HandleFunc("GET /kv-range", e.list)
 	mux.HandleFunc("GET /kv-watch", e.watch)
 	mux.HandleFunc("POST /kv-txn", e.txn)
@@ -292,6 +293,18 @@
 func (d discardResponse) Write(b []byte) (int, error) { return len(b), nil }
 func (d discardResponse) WriteHeader(int)             {}
 
+func (e *Endpoint) get(w http.ResponseWriter, r *http.Request) {
+	s := e.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	item, ok := s.items[r.URL.Query().Get("key")]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(w, item)
+}
+
 func (e *Endpoint) list(w http.ResponseWriter, r *http.Request) {
 	s := e.store
 	s.mu.Lock()
