Keep new flows away from the servers of evacuated zones

Cause: the operators' request to evacuate an availability zone was not read. New flows went on to the servers of the zone.

The directory carries the evacuations with their position and the time since when they hold, and leaves the servers of these zones out of the candidates. They do not count when a pool is checked for registrations that expired with the store.

A zone that may be evacuated is: the value of the entry is not read, an entry that a restored store lacks stays in force until it is written and removed, and one that it brings back is in force.

--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -38,7 +38,8 @@
 var DefaultRetention = RetentionFor(3*time.Second, time.Minute)
 
 // Change is a decoded item of a registry. It sets one of Config, Server, Deleted,
-// Invalid, VM, DeletedVM and Problem; Problem is also set along with Invalid.
+// Invalid, Evacuated, Returned, VM, DeletedVM and Problem; Problem is also set along with
+// Invalid.
 type Change struct {
 	Revision uint64
 	// ReadAt is when a daemon read the item from the store. Zero stands for the
@@ -51,10 +52,13 @@
 	// its last registration if that is known.
 	Deleted   string
 	LastState *Server
-	// Lost is set if the registration has vanished because the store was restored.
+	// Lost is set if a restored store lacks the item.
 	Lost bool
 	// Invalid is the id of a server whose registration is not usable.
 	Invalid string
+	// Evacuated is an availability zone whose servers must get no new flows, Returned one
+	// whose evacuation has ended.
+	Evacuated, Returned string
 	// VM is the registration of a daemon, DeletedVM the address of a daemon whose
 	// registration has vanished.
 	VM        *VM
@@ -66,7 +70,7 @@
 // Refusal reports a change that was rejected, or accepted only in part.
 type Refusal struct {
 	Revision uint64
-	// Subject is the id of the server, or "config" for a change without one.
+	// Subject is the id of the server or the zone, or "config" for a change without one.
 	Subject string
 	Reason  string
 }
@@ -75,6 +79,8 @@
 const (
 	ReasonOldVersion = "older configuration version"
 	ReasonCollision  = "cookie belongs to another server"
+	// ReasonTooManyEvacuations means that maxEvacuations other zones are evacuated.
+	ReasonTooManyEvacuations = "too many evacuated zones"
 )
 
 // Builder applies changes and builds directories from them. It is not safe for
@@ -92,6 +98,7 @@
 	// cookieUsers holds the names of the servers with each cookie, mostly one.
 	cookieUsers map[Cookie][]string
 	vms         map[netip.Addr]*VM
+	evacuations map[string]*Evacuation // by zone
 	// expiredPools are the pools of which more than half was missing at once. Their
 	// missing servers take new flows.
 	expiredPools map[string]bool
@@ -104,7 +111,7 @@
 func NewBuilderWith(r Retention) *Builder {
 	return &Builder{
 		retention: r, servers: map[string]*Server{}, cookieUsers: map[Cookie][]string{},
-		vms: map[netip.Addr]*VM{}, expiredPools: map[string]bool{},
+		vms: map[netip.Addr]*VM{}, evacuations: map[string]*Evacuation{}, expiredPools: map[string]bool{},
 	}
 }
 
@@ -113,24 +120,27 @@
 func (b *Builder) Apply(changes []Change, position Position, now time.Time) []Refusal {
 	var refused []Refusal
 	for _, c := range changes {
-		if reason := b.apply(c, now); reason != "" {
+		if reason := b.apply(c, position.Era, now); reason != "" {
 			refused = append(refused, Refusal{Revision: c.Revision, Subject: c.subject(), Reason: reason})
 		}
 	}
 	if position.IsAfter(b.position) {
 		b.position = position
 	}
+	refused = append(refused, b.limitEvacuations()...)
 	b.updateExpiredPools()
 	return refused
 }
 
 // updateExpiredPools adds the pools of which more than half is missing. A pool is
-// removed again when its last missing server is back or retired.
+// removed again when its last missing server is back or retired. Servers of evacuated zones
+// do not count: the rest has to carry the load without them, and many may be shut down on
+// purpose.
 func (b *Builder) updateExpiredPools() {
 	present, missing := map[string]int{}, map[string]int{}
 	for _, s := range b.servers {
 		switch {
-		case s.Draining, s.Retired:
+		case s.Draining, s.Retired, b.evacuations[s.Zone] != nil:
 		case s.MissingSince.IsZero():
 			present[s.Pool]++
 		default:
@@ -149,8 +159,8 @@
 	}
 }
 
-// subject returns the id of the server that a change concerns, or "config" if it
-// concerns none.
+// subject returns the id of the server or the zone that a change concerns, or "config" if
+// it concerns none.
 func (c Change) subject() string {
 	switch {
 	case c.Server != nil:
@@ -159,14 +169,16 @@
 		return c.Invalid
 	case c.Deleted != "":
 		return c.Deleted
+	case c.Evacuated != "":
+		return c.Evacuated
 	}
 	return "config"
 }
 
 // apply applies one change. A server without a usable registration counts as missing
 // since the change's ReadAt if that is set, otherwise since now. apply returns the
-// reason if the change is refused, or "".
-func (b *Builder) apply(c Change, now time.Time) string {
+// reason if the change is refused, or "". The change was read in an era of the store.
+func (b *Builder) apply(c Change, era uint64, now time.Time) string {
 	receivedAt := now
 	if !c.ReadAt.IsZero() {
 		now = c.ReadAt
@@ -184,6 +196,10 @@
 	case c.Invalid != "":
 		b.markMissing(c.Invalid, nil, false, now)
 		return c.Problem.Error()
+	case c.Evacuated != "":
+		b.evacuate(c.Evacuated, Position{Era: era, Revision: c.Revision}, now)
+	case c.Returned != "":
+		delete(b.evacuations, c.Returned)
 	case c.VM != nil:
 		b.vms[c.VM.Addr] = c.VM
 	case c.DeletedVM.IsValid():
@@ -294,6 +310,7 @@
 		byCookie:  make(map[Cookie]*Server, len(b.servers)),
 		vms:       maps.Clone(b.vms),
 	}
+	d.evacuations, d.evacuatedPools = maps.Clone(b.evacuations), map[string]bool{}
 	missing := map[string][]*Server{}
 	for _, s := range b.serversByPriority() {
 		if !s.Retired {
@@ -303,9 +320,11 @@
 			continue // the server with the higher priority has the cookie
 		}
 		d.byCookie[s.Cookie] = s
-		switch {
+		switch expired := !s.MissingSince.IsZero() && !s.LostByRestore; {
 		case s.Draining, s.Retired:
-		case !s.MissingSince.IsZero() && !s.LostByRestore:
+		case b.evacuations[s.Zone] != nil:
+			d.evacuatedPools[s.Pool] = d.evacuatedPools[s.Pool] || !expired
+		case expired:
 			missing[s.Pool] = append(missing[s.Pool], s)
 		default:
 			d.pools[s.Pool] = append(d.pools[s.Pool], s)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -124,6 +124,11 @@
 	byCookie map[Cookie]*Server
 	servers  int
 	vms      map[netip.Addr]*VM
+
+	evacuations map[string]*Evacuation
+	// evacuatedPools holds the pools with registered servers in evacuated zones that would
+	// take new flows otherwise.
+	evacuatedPools map[string]bool
 }
 
 // VM is the registration of a daemon.
@@ -140,7 +145,8 @@
 // Route returns the route of a service address, or nil.
 func (d *Directory) Route(a netip.AddrPort) *Route { return d.routes[a] }
 
-// Candidates returns the servers of a pool that take new flows, sorted by name.
+// Candidates returns the servers of a pool that take new flows, sorted by name. It leaves
+// out those in evacuated zones.
 // The slice and the servers must not be modified.
 func (d *Directory) Candidates(pool string) []*Server { return d.pools[pool] }
 
--- a/internal/directory/supersede_test.go
+++ b/internal/directory/supersede_test.go
@@ -17,6 +17,7 @@
 	gone := func(c Change) Change { return Change{Deleted: "i-1", LastState: c.Server} }
 	missing := Change{Deleted: "i-1"}
 	unreadable := Change{Invalid: "i-1"}
+	evacuated, returned, lost := Change{Evacuated: "a"}, Change{Returned: "a"}, Change{Returned: "a", Lost: true}
 	for name, test := range map[string]struct {
 		next, known Change
 		want        bool
@@ -39,6 +40,10 @@
 		"unreadable":                                {unreadable, server(1, 3, false), true},
 		"readable after an unreadable registration": {server(1, 3, false), unreadable, true},
 		"unknown before":                            {server(1, 3, false), missing, true},
+		"evacuation that the copy lacks":            {lost, evacuated, false},
+		"evacuation removed, as a peer has seen":    {returned, evacuated, true},
+		"evacuation written again":                  {evacuated, evacuated, true},
+		"evacuation brought back":                   {evacuated, returned, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is.New(t).Equal(Supersedes(test.next, test.known), test.want)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -38,8 +38,8 @@
 	// deletes the item when the lease expires.
 	Lease   uint64
 	Deleted bool
-	// Lost is set if the item is deleted because a restored store lacks it. Its writer may
-	// write it again.
+	// Lost is set if a restored store lacks the item, which is deleted or kept until its
+	// writer writes it again.
 	Lost bool
 	// ReadAt is the time at which a daemon read the item from the store.
 	ReadAt time.Time
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -110,6 +110,7 @@
 			changed = append(changed, i)
 		default:
 			kept++
+			i.Lost = true
 		}
 		s.items[key] = i
 	}
@@ -131,7 +132,9 @@
 		if present[key] || i.Deleted || i.Revision > revision {
 			continue
 		}
-		if tombstone := tombstoneOf(i, revision, now); s.supersedes(tombstone, i) {
+		tombstone := tombstoneOf(i, revision, now)
+		tombstone.Lost = i.Lost
+		if s.supersedes(tombstone, i) {
 			s.items[key] = tombstone
 			changed = append(changed, tombstone)
 		}
