Test evacuations across restores and listings

An evacuation that a restored store lacks stays in force on daemons that know it and on those that start from them; one that it brings back is in force; a removal that shows only in a listing ends it.

--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -217,6 +217,10 @@
 			return c, true
 		}
 		c.Config = &directory.Config{Version: version}
+	case strings.HasPrefix(i.Key, "zone ") && i.Deleted:
+		c.Returned = i.Key
+	case strings.HasPrefix(i.Key, "zone "):
+		c.Evacuated = i.Key
 	case !strings.HasPrefix(i.Key, "s"):
 		return c, false
 	case i.Deleted:
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -231,3 +231,80 @@
 		is.Equal(f.Age(time.Now()), time.Duration(0))
 	})
 }
+
+// Guards against an evacuation that ends because a restored store lacks it, on daemons that knew it
+// and on those that start afterwards, and against one that cannot be ended then.
+func TestEvacuationThatARestoreLostStays(t *testing.T) {
+	playWithStore(t, func(t *testing.T, is *is.I, s *fakeStore) {
+		s.put("config", "1")
+		s.put("zone a", "")
+		f, stop := startFollower(t, s, fixedRole(true))
+		defer stop()
+		time.Sleep(time.Second)
+		since := f.Current().Evacuations()[0].Since
+		starting := newFollower(s)
+		for range 2 { // after a second restore as well
+			s.restore(1)
+			time.Sleep(time.Second)
+			for range 2 { // a complete reading, then one that a listing in the same era has changed
+				starting.Merge(f.ChangesSince(starting.Position()), "peer")
+				is.True(starting.Current().Evacuated("zone a"))
+				is.True(f.Current().Evacuated("zone a"))
+				s.put("s2", "1")
+				s.update(func(s *fakeStore) { s.compacted = 2 })
+				time.Sleep(time.Second)
+			}
+			s.update(func(s *fakeStore) { s.compacted = 0 })
+		}
+		is.Equal(f.Current().Evacuations()[0].Since, since)
+		s.put("zone a", "")
+		time.Sleep(time.Second)
+		s.delete("zone a")
+		time.Sleep(time.Second)
+		is.True(!f.Current().Evacuated("zone a"))
+		starting.Merge(f.ChangesSince(starting.Position()), "peer")
+		is.True(!starting.Current().Evacuated("zone a"))
+	})
+}
+
+// Guards against daemons that differ about an evacuation which a restored store brings back: those
+// that start do not know that it had ended.
+func TestEvacuationThatARestoreBringsBackIsInForce(t *testing.T) {
+	playWithStore(t, func(t *testing.T, is *is.I, s *fakeStore) {
+		s.put("config", "1")
+		s.put("zone a", "")
+		f, stop := startFollower(t, s, fixedRole(true))
+		defer stop()
+		time.Sleep(time.Second)
+		s.delete("zone a")
+		time.Sleep(time.Second)
+		is.True(!f.Current().Evacuated("zone a"))
+		s.restore(2)
+		time.Sleep(time.Second)
+		is.True(f.Current().Evacuated("zone a"))
+		s.delete("zone a")
+		time.Sleep(time.Second)
+		is.True(!f.Current().Evacuated("zone a"))
+	})
+}
+
+// Guards against an evacuation that stays in force because its removal is only seen as its absence
+// from a listing, and against one written again meanwhile that ends.
+func TestEvacuationsFollowAListing(t *testing.T) {
+	playWithStore(t, func(t *testing.T, is *is.I, s *fakeStore) {
+		s.put("config", "1")
+		s.put("zone a", "")
+		s.put("zone b", "")
+		f, stop := startFollower(t, s, fixedRole(true))
+		defer stop()
+		time.Sleep(time.Second)
+		s.update(func(s *fakeStore) { s.err = ErrUnavailable })
+		s.delete("zone a")
+		s.delete("zone b")
+		s.put("zone b", "")
+		s.put("zone c", "")
+		s.update(func(s *fakeStore) { s.err, s.compacted = nil, 6 })
+		time.Sleep(recoveryTime)
+		is.Equal([]bool{f.Current().Evacuated("zone a"), f.Current().Evacuated("zone b"), f.Current().Evacuated("zone c")}, []bool{false, true, true})
+	})
+}
