Send no copies of opening packets to an evacuated zone

Cause: copies of an opening packet follow the first one to its server, also when its zone has been evacuated meanwhile.

They are dropped (evacuated_copy): the server has accepted the flow, or is about to, and a second one would contest it. Corrections need no change, since the server is no candidate. A pool whose servers are all evacuated refuses new flows with a reset and a reason of its own (pool_evacuated).

--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -160,13 +160,13 @@
 	if f != nil && f.established {
 		// A late retransmission: the flow's server has already accepted it.
 		f.lastSeen = now
-		return f.server, nil
+		return e.copyTo(d, f.server)
 	}
 	route := d.Route(p.Service)
 	if route != nil && f != nil && now.Sub(f.placedAt) < placement.AcceptTimeout {
 		// The original and its retransmissions were read in one batch: the
 		// server has had no time to answer yet.
-		return f.server, nil
+		return e.copyTo(d, f.server)
 	}
 	if route == nil {
 		e.logRefusal(d, p, metrics.NoRoute, now)
@@ -181,8 +181,12 @@
 	candidates := d.Candidates(pool)
 	server, ticket := e.placer.Choose(placement.Request{Route: route, Candidates: candidates, Avoid: avoid, Now: now})
 	if server == nil {
-		e.logRefusal(d, p, metrics.NoUsableServer, now)
-		return nil, &refusal{metrics.NoUsableServer, !now.Before(d.SettledAt)}
+		reason := metrics.NoUsableServer
+		if d.PoolEvacuated(pool) {
+			reason = metrics.PoolEvacuated
+		}
+		e.logRefusal(d, p, reason, now)
+		return nil, &refusal{reason, !now.Before(d.SettledAt)}
 	}
 	e.metrics.Count(metrics.FlowsOpened, 1)
 	if avoid != 0 && avoid != server.Cookie {
@@ -208,6 +212,16 @@
 	return server, nil
 }
 
+// copyTo returns the server for a copy of an opening packet that it has got before, unless
+// its zone has been evacuated meanwhile. The copy is dropped then: the server has accepted
+// the flow or is about to, and a second one would contest it.
+func (e *Engine) copyTo(d *directory.Directory, s *directory.Server) (*directory.Server, *refusal) {
+	if d.Evacuated(s.Zone) {
+		return nil, &refusal{metrics.EvacuatedCopy, false}
+	}
+	return s, nil
+}
+
 // addFlow adds a record for a flow. It returns nil if the flow table is full.
 func (e *Engine) addFlow(key flowKey, now time.Time) *flow {
 	if len(e.flows) >= maxFlows {
--- a/internal/cookie/engine_test.go
+++ b/internal/cookie/engine_test.go
@@ -238,7 +238,8 @@
 			s.Started++
 			return directory.Change{Server: s}
 		},
-		"vanished": func(s *directory.Server) directory.Change { return directory.Change{Deleted: s.Name} },
+		"vanished":  func(s *directory.Server) directory.Change { return directory.Change{Deleted: s.Name} },
+		"evacuated": func(s *directory.Server) directory.Change { return directory.Change{Evacuated: s.Zone} },
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
@@ -457,3 +458,56 @@
 	h.now = h.now.Add(placement.AcceptTimeout)
 	h.is.True(h.open(2) != first)
 }
+
+// placeInEvacuatedZone opens a flow, then evacuates the zone of its server. The other server is
+// in another zone.
+func placeInEvacuatedZone(t *testing.T) (h *harness, c directory.Cookie) {
+	h = newHarness(t)
+	elsewhere := server(2, "10.0.0.2:80")
+	elsewhere.Zone = "b"
+	h.apply(directory.Change{Server: elsewhere})
+	c = h.open(0)
+	h.apply(directory.Change{Evacuated: h.directories.current.ByCookie(c).Zone})
+	return h, c
+}
+
+// Guards against copies of an opening packet that reach a server after the evacuation of its
+// zone because the daemon placed the flow before.
+func TestCopiesDoNotReachAnEvacuatedZone(t *testing.T) {
+	h, c := placeInEvacuatedZone(t)
+	h.now = h.now.Add(placement.AcceptTimeout - 1)
+	h.is.True(!h.send(Packet{Opens: true, Retransmits: 1}).To.IsValid()) // the server may be about to answer
+	h.now = h.now.Add(1)
+	moved := h.open(2)
+	h.is.True(moved != c)
+	v := h.send(Packet{Cookie: moved})
+	h.is.Equal(v.To, h.directories.endpoint(moved))
+	h.is.Equal(len(v.Corrections), 0) // they would be opening packets as well
+}
+
+// Guards against an open flow that the evacuation of its server's zone breaks: its packets still
+// reach the server, and a late copy of its opening packet is neither forwarded nor answered.
+func TestOpenFlowsInAnEvacuatedZoneGoOn(t *testing.T) {
+	h, c := placeInEvacuatedZone(t)
+	h.is.Equal(h.send(Packet{Cookie: c, PayloadLen: 10}).To, h.directories.endpoint(c))
+	for range 2 {
+		h.is.True(!h.send(Packet{Opens: true, Retransmits: 1}).To.IsValid())
+		h.now = h.now.Add(placement.AcceptTimeout)
+	}
+	h.is.Equal(h.metrics.Refusals().Value(metrics.EvacuatedCopy), int64(2))
+	h.is.Equal(h.send(Packet{Cookie: c, PayloadLen: 10}).To, h.directories.endpoint(c))
+	h.apply(directory.Change{Returned: h.directories.current.ByCookie(c).Zone})
+	h.is.Equal(h.open(2), c)
+}
+
+// Guards against callers that time out because all zones of a pool are evacuated, and against
+// an operator who cannot tell this from a pool without servers.
+func TestEvacuatedPoolIsRefusedAtOnce(t *testing.T) {
+	h := newHarness(t)
+	h.apply(directory.Change{Evacuated: "a"})
+	h.now = h.now.Add(directory.DefaultRetention.Missing)
+	h.is.True(h.send(Packet{Opens: true}).Reset)
+	h.is.Equal(h.metrics.Refusals().Value(metrics.PoolEvacuated), int64(1))
+	h.apply(directory.Change{Returned: "a"})
+	h.open(0)
+}
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -33,6 +33,8 @@
 	NoCookie          Reason = "no_cookie"
 	UnknownCookie     Reason = "unknown_cookie"
 	StalePacket       Reason = "stale_packet"
+	PoolEvacuated     Reason = "pool_evacuated"
+	EvacuatedCopy     Reason = "evacuated_copy"
 )
 
 var refusalReasons = []Reason{
@@ -41,7 +43,7 @@
 	FlowTableFull, NewFlowRate, NoStanding, NoOwner, NoTables, ResetUnconfirmed,
 	ICMPUnknownFlow, StaleTables, PeerNotMember, PeerRefused, LinkQueueFull, ExceptionBudget,
 	ExceptionStale, TablesRegressed, StoreBudget, SendFailed,
-	SilentFlow, NoCookie, UnknownCookie, StalePacket,
+	SilentFlow, NoCookie, UnknownCookie, StalePacket, PoolEvacuated, EvacuatedCopy,
 }
 
 // Reasons for retrying a call.
