Show which zones are evacuated and since when

Events 327 and 328 tell when an evacuation comes into force and ends, status.evacuations lists those in force with the position of their entries and the servers they concern.

--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -23,6 +23,21 @@
 	Flows          int   `json:"flows"`
 	PeersKnown     int   `json:"peers_known"`
 	PeersLive      int   `json:"peers_live"`
+	// Evacuations lists the evacuated availability zones.
+	Evacuations []Evacuation `json:"evacuations"`
+}
+
+// Evacuation is an evacuated availability zone in a Status.
+type Evacuation struct {
+	Zone string `json:"zone"`
+	// Since is when a daemon first read the request from the store.
+	Since time.Time `json:"since"`
+	// Era and Revision are where the store states the request. If Era is lower than that of
+	// the Status, the store was restored and lacks the request, which is still in force.
+	Era      uint64 `json:"era"`
+	Revision uint64 `json:"revision"`
+	// Servers counts the servers of the zone.
+	Servers int `json:"servers"`
 }
 
 // Status returns the daemon's Status as JSON.
@@ -32,11 +47,17 @@
 	s := Status{
 		VM: d.options.Settings.Name, Zone: d.options.Settings.Zone, Leaving: d.leaving.Load(),
 		Watching: d.follower.Watching(), Era: position.Era, Revision: position.Revision, Flows: d.engine.FlowCount(),
+		Evacuations: []Evacuation{},
 	}
 	if dir := d.follower.Current(); dir != nil {
 		s.Ready = !s.Leaving
 		s.ConfigVersion, s.Servers = dir.Config.Version, dir.ServerCount()
 		s.DirectoryAgeMS = d.follower.Age(now).Milliseconds()
+		for _, e := range dir.Evacuations() {
+			s.Evacuations = append(s.Evacuations, Evacuation{
+				Zone: e.Zone, Since: e.Since, Era: e.Position.Era, Revision: e.Position.Revision, Servers: dir.ServersIn(e.Zone),
+			})
+		}
 	}
 	s.PeersKnown, s.PeersLive = d.table.PeerCounts(now)
 	return json.Marshal(s)
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -58,6 +58,8 @@
 	StoreWatchChanged = Event{Number: 322, Level: infoLevel, Message: "store watch started or stopped", Action: "none"}
 	DirectoryFromPeer = Event{Number: 324, Level: infoLevel, Message: "directory fetched from a peer at startup", Action: "none"}
 	StoreRestored     = Event{Number: 326, Level: warnLevel, Message: "store was restored from a backup", Action: "check that the operators' last changes are in the store"}
+	ZoneEvacuated     = Event{Number: 327, Level: infoLevel, Message: "zone evacuated", Action: "none", PerSecond: serverLinesPerSecond}
+	ZoneReturned      = Event{Number: 328, Level: infoLevel, Message: "evacuation of a zone ended", Action: "none", PerSecond: serverLinesPerSecond}
 	StoreListed       = Event{Number: 325, Level: infoLevel, Message: "store listed", Action: "none", PerSecond: listingLinesPerSecond}
 
 	RegistrationFailed = Event{Number: 323, Level: warnLevel, Message: "registration in the store failed", Action: "check the platform store"}
@@ -90,7 +92,7 @@
 		LinesDropped, Reloaded, ReloadRefused, Ready, BacklogDropped,
 		MemberJoined, MemberLeaving, MemberSuspected, MemberDied, SuspicionRefuted, LinkOpened, LinkLost, PeerRefused,
 		TablesApplied, TablesRegressed, TablesInvalid, TablesUnconfirmed, FetchFailed, StoreDown, StoreRecovered,
-		DirectoryApplied, ItemRefused, StoreWatchChanged, RegistrationFailed, DirectoryFromPeer, StoreListed, StoreRestored,
+		DirectoryApplied, ItemRefused, StoreWatchChanged, RegistrationFailed, DirectoryFromPeer, StoreListed, StoreRestored, ZoneEvacuated, ZoneReturned,
 		ServerEjected, ServerReinstated, EjectionRefused, SilentFlow, FlowTableFull, NewFlowLimited, BackupChanged,
 		FlowPlaced, FlowRefused, FlowUnanswered, ServerSuspected, ServerRecovered, ZoneUnreachable, ZoneReachable, CookieCorrected,
 	}
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -418,11 +418,29 @@
 			zap.Uint64("config_version", next.Config.Version), zap.Int("routes", len(next.Config.Routes)),
 			zap.Int("servers", next.ServerCount()))...)
 	}
+	f.logEvacuations(old, next)
 	for _, fn := range f.onChange {
 		fn(next)
 	}
 }
 
+// logEvacuations logs the zones that are evacuated in only one of two directories. The old
+// one may be nil.
+func (f *Follower) logEvacuations(old, next *directory.Directory) {
+	log := func(event events.Event, in, notIn *directory.Directory) {
+		for _, e := range in.Evacuations() {
+			if notIn == nil || !notIn.Evacuated(e.Zone) {
+				f.log.Log(event, zap.String("zone", e.Zone), zap.Time("since", e.Since), zap.Stringer("written_at", e.Position),
+					zap.Int("servers", next.ServersIn(e.Zone)), zap.Stringer("position", next.Position))
+			}
+		}
+	}
+	log(events.ZoneEvacuated, next, old)
+	if old != nil {
+		log(events.ZoneReturned, old, next)
+	}
+}
+
 // expire retires servers whose registration has been missing for too long.
 func (f *Follower) expire(ctx context.Context) {
 	for wait.For(ctx, expireInterval) {
