Add the setting limits.evacuate_ms

It bounds the time until an evacuation is in force and joins the other bounds from which the daemon derives how long its directory may go without a confirmation. The template takes it from bounds.evacuate_ms. Nothing changes where it is not set.

--- a/cmd/knapweedshored/entry_test.go
+++ b/cmd/knapweedshored/entry_test.go
@@ -23,6 +23,7 @@
 	"internal_ports.0": "7720", "internal_ports.1": "7735", "platform.address": "10.200.1.7:8169",
 	"seeds": "10.1.0.10:8166,10.2.0.40:8166", "bounds.grace_s": "7", "bounds.stable_ms": "4500",
 	"bounds.drain_ms": "2500", "bounds.config_apply_ms": "2000", "bounds.flow_ttl_s": "50",
+	"bounds.evacuate_ms": "1500",
 }
 
 // renderTemplate fills in the deploy template as the platform does.
@@ -59,6 +60,8 @@
 		7 * time.Second, 4500 * time.Millisecond, 2500 * time.Millisecond, 2 * time.Second, 50 * time.Second,
 	})
 	is.Equal(s.PeerListen, s.Peer)
+	is.Equal(s.EvacuationTime, 1500*time.Millisecond)
+	is.Equal(s.ReactionTime(), s.EvacuationTime) // the shortest bound
 
 	// The platform gives no seeds and no bounds.
 	minimal := maps.Clone(platformValues)
@@ -67,7 +70,8 @@
 	s, err = settings.ParseEntry("entry.ini", []byte(renderTemplate(t, minimal)))
 	is.NoErr(err)
 	is.Equal(len(s.Seeds), 0)
-	is.Equal(s.ReactionTime(), 3*time.Second)
+	is.Equal(s.EvacuationTime, time.Duration(0))
+	is.Equal(s.ReactionTime(), 3*time.Second) // as without the setting
 }
 
 // Guards against a daemon that starts with invalid settings, and against an error
@@ -75,11 +79,11 @@
 func TestEntryChecksItsSettings(t *testing.T) {
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "entry.ini")
-	is.NoErr(os.WriteFile(path, []byte("[vm]\nname = ?\nregion = r\nzone = a\n[limits]\ngrace_s = -1\nrecovery_ms = x\n"), 0o600))
+	is.NoErr(os.WriteFile(path, []byte("[vm]\nname = ?\nregion = r\nzone = a\n[limits]\ngrace_s = -1\nrecovery_ms = x\nevacuate_ms = 0\n"), 0o600))
 	for _, args := range [][]string{{"entry", "--config", path}, {"check-config", "--entry", "--config", path}} {
 		got := execute(args...)
 		is.Equal(got.code, exitFailure)
-		for _, part := range []string{`"name"`, `"grace_s"`, `"recovery_ms"`, `"data"`, `"store"`} {
+		for _, part := range []string{`"name"`, `"grace_s"`, `"recovery_ms"`, `"evacuate_ms"`, `"data"`, `"store"`} {
 			is.True(strings.Contains(got.err, part))
 		}
 	}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -42,6 +42,9 @@
 	// DrainTime is the maximum time until a draining server gets no more new flows,
 	// ConfigTime the maximum time until a new configuration is in effect.
 	DrainTime, ConfigTime time.Duration
+	// EvacuationTime is the maximum time until the servers of an evacuated zone get no more
+	// new flows; zero if the deployment sets no such bound.
+	EvacuationTime time.Duration
 	// FlowLifetime is the maximum lifetime of a flow.
 	FlowLifetime time.Duration
 	// LogLevel is debug, info, warn or error.
@@ -75,8 +78,14 @@
 }
 
 // ReactionTime returns the maximum time until any change in the store takes effect,
-// which is the shorter one of DrainTime and ConfigTime.
-func (e *Entry) ReactionTime() time.Duration { return min(e.DrainTime, e.ConfigTime) }
+// which is the shortest one of DrainTime, ConfigTime and EvacuationTime.
+func (e *Entry) ReactionTime() time.Duration {
+	t := min(e.DrainTime, e.ConfigTime)
+	if e.EvacuationTime > 0 {
+		t = min(t, e.EvacuationTime)
+	}
+	return t
+}
 
 // EntryKeys returns all keys of the settings file of an entry daemon, in the order
 // of the settings reference.
@@ -129,6 +138,11 @@
 	{Section: "limits", Name: "config_ms", Default: "3000",
 		Meaning: "maximum milliseconds until a new configuration is in effect",
 		set:     func(s *draft, v string) string { return setUnits(&s.entry.ConfigTime, v, time.Millisecond, maxDelay) }},
+	{Section: "limits", Name: "evacuate_ms", Default: "",
+		Meaning: "maximum milliseconds until the servers of an evacuated zone get no more new flows; the default is the shorter one of drain_ms and config_ms",
+		set: func(s *draft, v string) string {
+			return setOptionalUnits(&s.entry.EvacuationTime, v, time.Millisecond, maxDelay)
+		}},
 	{Section: "limits", Name: "flow_life_s", Default: "60",
 		Meaning: "maximum lifetime of a flow in seconds; packets of existing flows reach a removed server for this long",
 		set:     func(s *draft, v string) string { return setUnits(&s.entry.FlowLifetime, v, time.Second, maxLifetime) }},
@@ -142,7 +156,7 @@
 const (
 	// maxGracePeriod is the longest stop timeout that service managers allow.
 	maxGracePeriod = time.Hour
-	// maxDelay limits RecoveryTime, DrainTime and ConfigTime. The store does not
+	// maxDelay limits RecoveryTime, DrainTime, ConfigTime and EvacuationTime. The store does not
 	// allow a watch to stay silent for longer.
 	maxDelay = 40 * time.Second
 	// maxLifetime limits FlowLifetime.
@@ -162,6 +176,14 @@
 	return ""
 }
 
+// setOptionalUnits is setUnits for a value that may be empty, which leaves *dst as it is.
+func setOptionalUnits(dst *time.Duration, v string, unit, limit time.Duration) string {
+	if v == "" {
+		return ""
+	}
+	return setUnits(dst, v, unit, limit)
+}
+
 // RestartKeys returns the names of the keys whose values differ in next and take
 // effect only after a restart of the daemon.
 func (e *Entry) RestartKeys(next *Entry) []string {
@@ -184,6 +206,7 @@
 	addIf("limits.recovery_ms", e.RecoveryTime != next.RecoveryTime)
 	addIf("limits.drain_ms", e.DrainTime != next.DrainTime)
 	addIf("limits.config_ms", e.ConfigTime != next.ConfigTime)
+	addIf("limits.evacuate_ms", e.EvacuationTime != next.EvacuationTime)
 	addIf("limits.flow_life_s", e.FlowLifetime != next.FlowLifetime)
 	return changed
 }
