Evacuate zones in the soak

Each run evacuates a zone while nothing is impaired and, from a random sequence of its own, others amid the faults. No copy of an opening packet may reach the zone later than 3 s after the entry was written, through stable daemons. Daemons that ignore evacuations are found.

--- a/cmd/knapweedshored/soak.go
+++ b/cmd/knapweedshored/soak.go
@@ -25,8 +25,11 @@
 	maxSoakJobs    = 4
 )
 
-// maxSoakRestores limits the restores of a seed, which each take up to 20 s.
-const maxSoakRestores = 10
+// Limits of a seed's restores, which each take up to 20 s, and of its evacuations.
+const (
+	maxSoakRestores    = 10
+	maxSoakEvacuations = 10
+)
 
 // errSoakFailed is returned for a seed whose report has violations.
 var errSoakFailed = errors.New("a promise was broken; see the reports")
@@ -56,6 +59,7 @@
 			&cli.IntFlag{Name: "zones", Value: 3, Usage: "`N` availability zones"},
 			&cli.IntFlag{Name: "daemons", Value: 3, Usage: "`N` daemons in each zone"},
 			&cli.IntFlag{Name: "restores", Value: 1, Usage: "restore the store from a backup `N` times in seeds with faults of the whole store"},
+			&cli.IntFlag{Name: "evacuations", Value: 1, Usage: "evacuate a zone `N` times"},
 			&cli.IntSliceFlag{Name: "step", Usage: "run only the step with this `NUMBER`; repeatable"},
 			&cli.BoolFlag{Name: "shrink", Usage: "look for a smaller schedule that still fails"},
 			&cli.BoolFlag{Name: "verbose", Usage: "write each step to standard error"},
@@ -83,6 +87,7 @@
 	for i := range cmd.Int("seeds") {
 		c := config
 		c.Seed += uint64(i)
+		c.Evacuations = cmd.Int("evacuations")
 		if soak.HasStoreFaults(c.Seed) {
 			c.Restores = cmd.Int("restores")
 		}
@@ -117,6 +122,8 @@
 		return c, usage.Errorf("--seeds is %d, want at least 1", cmd.Int("seeds"))
 	case cmd.Int("restores") < 0 || cmd.Int("restores") > maxSoakRestores:
 		return c, usage.Errorf("--restores is %d, want 0 to %d", cmd.Int("restores"), maxSoakRestores)
+	case cmd.Int("evacuations") < 0 || cmd.Int("evacuations") > maxSoakEvacuations:
+		return c, usage.Errorf("--evacuations is %d, want 0 to %d", cmd.Int("evacuations"), maxSoakEvacuations)
 	case cmd.Int("jobs") < 1 || cmd.Int("jobs") > maxSoakJobs:
 		return c, usage.Errorf("--jobs is %d, want 1 to %d", cmd.Int("jobs"), maxSoakJobs)
 	case c.FaultPhase <= 0:
--- a/cmd/knapweedshored/soak_test.go
+++ b/cmd/knapweedshored/soak_test.go
@@ -25,11 +25,12 @@
 
 // Deliberate defects of daemons that the soak must find.
 const (
-	noDefect          = "none"
-	drainIgnored      = "drain ignored"
-	positionalCookies = "cookies by position"
-	itemsLost         = "revision without its items"
-	erasIgnored       = "eras of the store ignored"
+	noDefect           = "none"
+	drainIgnored       = "drain ignored"
+	positionalCookies  = "cookies by position"
+	itemsLost          = "revision without its items"
+	erasIgnored        = "eras of the store ignored"
+	evacuationsIgnored = "evacuations ignored"
 )
 
 // serveDefectiveEntry runs an entry daemon with a defect and returns its exit code.
@@ -44,6 +45,8 @@
 			o.Source = lossySource{o.Source}
 		case erasIgnored:
 			o.Source = eralessSource{o.Source}
+		case evacuationsIgnored:
+			o.Decoder = ignoreEvacuationDecoder{o.Decoder}
 		}
 		return o
 	})
@@ -65,6 +68,14 @@
 	return c, ok
 }
 
+// ignoreEvacuationDecoder ignores which zones are evacuated.
+type ignoreEvacuationDecoder struct{ registry.Decoder }
+
+func (d ignoreEvacuationDecoder) Decode(i registry.Item) (directory.Change, bool) {
+	c, ok := d.Decoder.Decode(i)
+	return c, ok && c.Evacuated == ""
+}
+
 // positionalDecoder numbers cookies in the order in which this process first sees the
 // servers, so that they may differ between daemons.
 type positionalDecoder struct {
@@ -121,7 +132,7 @@
 		restores = 1
 	}
 	report, err := soak.Run(t.Context(), soak.Config{
-		Seed: seed, FaultPhase: 6 * time.Second, Zones: 2, DaemonsPerZone: 2, Restores: restores, Progress: func(line string) { t.Log(line) },
+		Seed: seed, FaultPhase: 6 * time.Second, Zones: 2, DaemonsPerZone: 2, Restores: restores, Evacuations: 1, Progress: func(line string) { t.Log(line) },
 		Command: func(settings string) (string, []string, []string) {
 			return os.Args[0], nil, []string{entryEnv + "=" + settings, defectEnv + "=" + defect}
 		},
@@ -151,7 +162,7 @@
 // daemons with deliberate defects.
 func TestSoakFindsDefects(t *testing.T) {
 	t.Parallel()
-	for defect, seed := range map[string]uint64{drainIgnored: 1, positionalCookies: 1, itemsLost: 1, erasIgnored: 2} {
+	for defect, seed := range map[string]uint64{drainIgnored: 1, positionalCookies: 1, itemsLost: 1, erasIgnored: 2, evacuationsIgnored: 1} {
 		t.Run(defect, func(t *testing.T) {
 			t.Parallel()
 			is.New(t).True(!shortSoak(t, seed, defect).OK())
--- a/standin/soak/judge.go
+++ b/standin/soak/judge.go
@@ -35,6 +35,8 @@
 	impairments map[node][]*impairment
 	// drainStarts holds the times at which servers started to drain, by server number.
 	drainStarts map[uint64]time.Time
+	// evacuatedSince holds the times at which the evacuations in force began, by zone.
+	evacuatedSince map[int]time.Time
 	// routeChanges are the changes of toggledRoute in the order of time.
 	routeChanges []routeChange
 	counts       Counts
@@ -60,7 +62,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{startedAt: time.Now(), impairments: map[node][]*impairment{}, drainStarts: map[uint64]time.Time{}}
+	return &checker{startedAt: time.Now(), impairments: map[node][]*impairment{}, drainStarts: map[uint64]time.Time{}, evacuatedSince: map[int]time.Time{}}
 }
 
 // addViolation records a broken promise.
--- a/standin/soak/restore.go
+++ b/standin/soak/restore.go
@@ -52,6 +52,8 @@
 // and brings it back from the backup. The operator and the servers write again what it
 // lacks.
 func (s *site) restoreFromBackup(ctx context.Context, step Step) {
+	s.restoring.Lock()
+	defer s.restoring.Unlock()
 	backup := s.store.Backup()
 	for i := range step.Count * lostChanges {
 		s.configure(i%2 == 0)
@@ -65,6 +67,7 @@
 	s.mu.Lock()
 	s.store.Restore(backup)
 	s.store.Put(configKey, s.configValue)
+	s.writeEvacuations()
 	s.mu.Unlock()
 	for _, e := range s.endpoints {
 		e.SetFault(platform.NoFault)
--- a/standin/soak/schedule_test.go
+++ b/standin/soak/schedule_test.go
@@ -20,7 +20,7 @@
 			restores = 2
 		}
 		newSchedule := func() Schedule {
-			return NewSchedule(seed, 20*time.Second, 3, 2).WithRestores(seed, 20*time.Second, restores)
+			return NewSchedule(seed, 20*time.Second, 3, 2).WithRestores(seed, 20*time.Second, restores).WithEvacuations(seed, 20*time.Second, 3, 1)
 		}
 		a, b := newSchedule(), newSchedule()
 		is.Equal(a.String(), b.String())
@@ -29,7 +29,7 @@
 			is.True(seed%2 == 0 || !stepKinds[step.Kind].wholeStore)
 			seenKinds[step.Kind] = true
 		}
-		others := slices.DeleteFunc(b, func(step Step) bool { return step.Kind == restoreKind })
+		others := slices.DeleteFunc(b, func(step Step) bool { return step.Kind == restoreKind || step.Kind == evacuateKind })
 		is.Equal(others.String(), NewSchedule(seed, 20*time.Second, 3, 2).String())
 	}
 	is.Equal(len(seenKinds), len(stepKinds)) // every kind occurs
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -99,6 +99,11 @@
 	configValue  []byte // its encoded form
 	// registered holds the current registrations by key, whether the store has them or not.
 	registered map[string]*registration
+	// evacuated holds the zones whose evacuation is in force.
+	evacuated map[int]bool
+	// restoring is held while the store is restored, and to end an evacuation: a daemon that
+	// misses the end during a restore would keep the evacuation.
+	restoring sync.Mutex
 }
 
 // serverHost is a machine on which one backend server runs at a time.
@@ -119,7 +124,7 @@
 	}
 	s := &site{
 		config: c, dir: dir, network: network, store: platform.NewStore(), linkFaults: newLinkFaults(),
-		router: platform.NewRotation(c.Seed), checker: newChecker(), random: rand.New(rand.NewPCG(c.Seed, 0x51)), lastNumber: 0x51000000, registered: map[string]*registration{},
+		router: platform.NewRotation(c.Seed), checker: newChecker(), random: rand.New(rand.NewPCG(c.Seed, 0x51)), lastNumber: 0x51000000, registered: map[string]*registration{}, evacuated: map[int]bool{},
 	}
 	s.running, s.stop = context.WithCancel(context.Background())
 	if err := s.build(); err != nil {
@@ -306,17 +311,21 @@
 		if sender == nil || len(b) <= envelopeLength {
 			return direction{}, nil, false
 		}
-		s.observeOpening(sender.number, b)
+		s.observeOpening(sender.number, host.zone, b)
 		return direction{daemonNode(sender.number), serverNode(host.index)}, func(b []byte) {
 			_, _ = out.Write(b) // the server may be down
 		}, true
 	})
 }
 
-// observeOpening passes the first packet of a flow to the checker.
-func (s *site) observeOpening(daemon int, b []byte) {
+// observeOpening passes a packet that opens a flow at a server of a zone to the checker.
+func (s *site) observeOpening(daemon, zone int, b []byte) {
 	p, err := platform.DecodePacket(b[envelopeLength:])
-	if err != nil || p.Flags&platform.SYN == 0 || p.Ack != 0 {
+	if err != nil || p.Flags&platform.SYN == 0 {
+		return
+	}
+	s.checker.checkCopy(daemon, zone, time.Now())
+	if p.Ack != 0 {
 		return // a retransmitted SYN may go to a server that has already accepted the flow
 	}
 	for name, addr := range routes {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -27,6 +27,8 @@
 	Zones, DaemonsPerZone int
 	// Restores is the number of restores of the store from backups.
 	Restores int
+	// Evacuations is the number of evacuations of zones.
+	Evacuations int
 	// Steps lists the numbers of the steps to run. If it is empty, all steps of the
 	// schedule run.
 	Steps []int
@@ -68,7 +70,8 @@
 		return nil, errors.Wrap(err, "create a directory for settings and logs")
 	}
 	defer func() { _ = os.RemoveAll(dir) }() // the logs of a failed run have been copied
-	schedule := NewSchedule(c.Seed, c.FaultPhase, c.Zones, c.DaemonsPerZone).WithRestores(c.Seed, c.FaultPhase, c.Restores).Select(c.Steps)
+	schedule := NewSchedule(c.Seed, c.FaultPhase, c.Zones, c.DaemonsPerZone).WithRestores(c.Seed, c.FaultPhase, c.Restores).
+		WithEvacuations(c.Seed, c.FaultPhase, c.Zones, c.Evacuations).Select(c.Steps)
 	s, err := newSite(c, dir)
 	if err != nil {
 		return nil, err
@@ -114,12 +117,14 @@
 // draining server gets no new flows.
 const drainCheckTime = 2 * time.Second
 
-// plannedWork drains a server and adds a route while nothing is impaired, so that each
-// run checks the promises with a time limit for every daemon.
+// plannedWork drains a server, evacuates another zone and adds a route while nothing is
+// impaired, so that each run checks the promises with a time limit for every daemon.
 func (s *site) plannedWork(ctx context.Context) {
 	step := Step{Server: int(s.config.Seed % (1 << 16)), Duration: drainCheckTime}
+	step.Zone = (s.servers[step.Server%len(s.servers)].zone + 1) % s.config.Zones
 	var changes conc.WaitGroup
 	changes.Go(func() { drainServer(ctx, s, step) })
+	changes.Go(func() { evacuateZone(ctx, s, step) })
 	changes.Go(func() { changeConfig(ctx, s, step) })
 	changes.Wait()
 }
--- a/standin/soak/steps.go
+++ b/standin/soak/steps.go
@@ -45,7 +45,8 @@
 	"restart a server":              {1, restartServer, false},
 	"change the configuration":      {5, changeConfig, false},
 	"change it many times":          {1, changeConfigRepeatedly, false},
-	restoreKind:                     {0, restoreStore, true}, // drawn by WithRestores
+	restoreKind:                     {0, restoreStore, true},  // drawn by WithRestores
+	evacuateKind:                    {0, evacuateZone, false}, // drawn by WithEvacuations
 }
 
 // affectedMachines returns count machines, beginning with the step's daemon.
@@ -295,11 +296,12 @@
 }
 
 // takeReadyServer marks a ready server as not ready and returns its host. It returns nil
-// if that would leave fewer than minReadyServers ready servers in every pool.
+// if that would leave fewer than minReadyServers ready servers in every pool, or none outside
+// evacuated zones.
 func (s *site) takeReadyServer(step Step) *serverHost {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ready := map[string]int{}
+	ready, usable := map[string]int{}, s.usableServers()
 	for _, host := range s.servers {
 		if host.ready {
 			ready[host.backend.Pool]++
@@ -307,7 +309,8 @@
 	}
 	for i := range s.servers {
 		host := s.servers[(step.Server+i)%len(s.servers)]
-		if host.ready && ready[host.backend.Pool] > minReadyServers {
+		spare := s.evacuated[host.zone] || usable[host.backend.Pool] > 1
+		if host.ready && spare && ready[host.backend.Pool] > minReadyServers {
 			host.ready = false
 			return host
 		}
