Check evacuations in the model of freshness

The operator of the model evacuates a zone and ends that with each configuration. A daemon that the store serves has to follow within the maximum delay, through refused and silent access, restores, freezes, dead daemons and cuts. Only an evacuation that a daemon knows to be lost by a restore may outlast its end. A listing of the model's store no longer has deleted items.

--- a/internal/exchange/freshness_test.go
+++ b/internal/exchange/freshness_test.go
@@ -32,9 +32,10 @@
 	FrozenFor, FreezeLead time.Duration
 	SlowReports           bool
 	// Lost is the number of changes that the store loses, because it is restored from a
-	// backup, zero if it is not. The operator writes the newest configuration again.
+	// backup, zero if it is not. The operator writes the newest configuration and the
+	// evacuation in force again.
 	Lost int
-	// Writes holds the pause before each change of the configuration.
+	// Writes holds the pause before each change of the configuration and the evacuation.
 	Writes []time.Duration
 }
 
@@ -67,16 +68,33 @@
 	return r
 }
 
-// write writes the next configuration.
+// write writes the next configuration. After the first one, it also evacuates modelZone and ends
+// that by turns.
 func (r *region) write() {
-	r.writtenAt = append(r.writtenAt, time.Now())
+	now := time.Now()
+	r.writtenAt = append(r.writtenAt, now)
 	r.store.put("config", fmt.Sprint(len(r.writtenAt)))
+	if len(r.writtenAt) == 1 {
+		return
+	}
+	r.evacuated, r.evacuationAt = !r.evacuated, now
+	r.writeEvacuation()
+}
+
+func (r *region) writeEvacuation() {
+	if r.evacuated {
+		r.store.put(modelZone, "")
+	} else {
+		r.store.delete(modelZone)
+	}
 }
 
-// restore restores the store. The operator writes the newest configuration again.
+// restore restores the store. The operator writes the newest configuration and the evacuation
+// again, or removes the entry that the restore may have brought back.
 func (r *region) restore(lost int) {
 	r.store.restore(lost)
 	r.store.put("config", fmt.Sprint(len(r.writtenAt)))
+	r.writeEvacuation()
 }
 
 // advance plays the model for a time, or until a bound is violated.
--- a/internal/exchange/model_test.go
+++ b/internal/exchange/model_test.go
@@ -110,6 +110,9 @@
 	slowReports bool
 	// writtenAt holds the times at which versions 1, 2 and so on were written.
 	writtenAt []time.Time
+	// evacuated is set while the operator wants modelZone to be evacuated, since evacuationAt.
+	evacuated    bool
+	evacuationAt time.Time
 	// violation describes the first violation of the bounds, empty for none.
 	violation string
 }
@@ -130,7 +133,7 @@
 		for i := range n {
 			d := &modelDaemon{addr: addr(zone, i+1), zone: zone, storeState: served, link: &storeLink{store: store, state: served, broken: make(chan struct{})}}
 			d.follower = registry.NewFollower(registry.Options{
-				Source: d.link, Decoder: versionDecoder{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Watch: watch,
+				Source: d.link, Decoder: modelDecoder{}, Log: events.Discard(), Metrics: metrics.NewRegistry(), Watch: watch,
 			})
 			d.table = NewPeerTable(PeerTableOptions{
 				Self: d.addr, Zone: zoneName(zone), MaxAge: watch.MaxAge(),
@@ -246,5 +249,22 @@
 			m.violation = fmt.Sprintf("%s uses version %d for more than %s after version %d was written", d.addr, version, m.maxChangeDelay, requiredVersion)
 		}
 		d.version, d.position = version, d.follower.Position()
+		if connected {
+			m.checkEvacuation(d, now)
+		}
+	}
+}
+
+// checkEvacuation sets violation if a daemon that the store serves does not follow the last
+// evacuation or its end after the maximum delay. One that it knows to be lost by a restore may
+// outlast its end.
+func (m *model) checkEvacuation(d *modelDaemon, now time.Time) {
+	current := d.follower.Current()
+	if m.violation != "" || d.dead || !d.frozenUntil.IsZero() || current == nil || now.Sub(m.evacuationAt) <= m.maxChangeDelay {
+		return
+	}
+	in := current.Evacuations()
+	if got := len(in) > 0; got != m.evacuated && (m.evacuated || !in[0].Lost) {
+		m.violation = fmt.Sprintf("%s: zone evacuated: %v more than %s after the operator wrote %v", d.addr, got, m.maxChangeDelay, m.evacuated)
 	}
 }
--- a/internal/exchange/modelstore_test.go
+++ b/internal/exchange/modelstore_test.go
@@ -19,14 +19,18 @@
 	changed chan struct{}
 }
 
-func (s *sharedStore) put(key, value string) uint64 {
+func (s *sharedStore) put(key, value string) { s.add(registry.Item{Key: key, Value: []byte(value)}) }
+
+func (s *sharedStore) delete(key string) { s.add(registry.Item{Key: key, Deleted: true}) }
+
+func (s *sharedStore) add(i registry.Item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	revision := uint64(len(s.items) + 1)
-	s.items = append(s.items, registry.Item{Key: key, Value: []byte(value), Revision: revision, Created: revision})
+	i.Revision = uint64(len(s.items) + 1)
+	i.Created = i.Revision
+	s.items = append(s.items, i)
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return revision
 }
 
 // restore brings back the state before the last changes.
@@ -127,6 +131,11 @@
 		return registry.Reading{}, registry.ErrUnavailable
 	}
 	reading, _, err := l.store.since(0)
+	last := map[string]uint64{}
+	for _, i := range reading.Items {
+		last[i.Key] = i.Revision
+	}
+	reading.Items = slices.DeleteFunc(reading.Items, func(i registry.Item) bool { return i.Deleted || i.Revision != last[i.Key] })
 	reading.Complete = true
 	return reading, err
 }
@@ -136,10 +145,19 @@
 func (l *storeLink) Put(context.Context, string, []byte, uint64) error          { return nil }
 func (l *storeLink) Close()                                                     {}
 
-// versionDecoder decodes configurations, whose value is their version.
-type versionDecoder struct{}
+// modelZone is the zone that the operator of a model evacuates, and the key of its entry.
+const modelZone = "evacuated zone"
 
-func (versionDecoder) Decode(i registry.Item) (directory.Change, bool) {
+// modelDecoder decodes configurations, whose value is their version, and evacuations.
+type modelDecoder struct{}
+
+func (modelDecoder) Decode(i registry.Item) (directory.Change, bool) {
+	switch {
+	case i.Key == modelZone && i.Deleted:
+		return directory.Change{Revision: i.Revision, Returned: modelZone}, true
+	case i.Key == modelZone:
+		return directory.Change{Revision: i.Revision, Evacuated: modelZone}, true
+	}
 	c := directory.Change{Revision: i.Revision, Config: &directory.Config{}}
 	_, err := fmt.Sscan(string(i.Value), &c.Config.Version)
 	return c, err == nil
