--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -53,6 +53,7 @@
 	settings *settings.Entry
 	endpoint *platform.Endpoint
 	logs     *observer.ObservedLogs
+	status   func() ([]byte, error)
 	stop     context.CancelFunc
 	done     chan struct{}
 }
@@ -136,7 +137,7 @@
 	})
 	s.check(err)
 	ctx, stop := context.WithCancel(context.Background())
-	d.stop = stop
+	d.stop, d.status = stop, running.Status
 	go func() {
 		defer close(d.done)
 		running.Run(ctx, entry.ReloadOptions{})
@@ -453,6 +454,63 @@
 	is.Equal(answer, leaving.ID+" 2")
 }
 
+// Guards against new flows to a zone later than the bound after its evacuation, on a daemon that
+// the store serves, on one that it refuses and on one that starts meanwhile without the store,
+// against open flows that lose their server, and against a status that hides the evacuation.
+func TestEvacuatedZone(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	evacuated, other := s.addBackend(1, "a"), s.addBackend(2, "b")
+	first, second := s.start("a"), s.start("a")
+	s.awaitReady(first, second)
+	s.await("registrations", 5*time.Second, func() bool { return s.registered(first) && s.registered(second) })
+	flow, err := s.caller.Open(first.router(), serviceAddr)
+	is.NoErr(err)
+	answer, err := flow.Request(first.router(), "1")
+	is.NoErr(err)
+	is.Equal(answer, evacuated.ID+" 1") // the server of the daemon's own zone
+
+	second.endpoint.SetFault(platform.Unavailable)
+	s.store.Put("op/evacuate/a", []byte("{}"))
+	inForce := func(d *daemon) func() bool {
+		return func() bool { return d.logs.FilterMessage(events.ZoneEvacuated.Message).Len() == 1 }
+	}
+	s.await("evacuation", 3*time.Second, inForce(first))
+	s.await("evacuation at a daemon that the store refuses", 3*time.Second, inForce(second))
+	second.end()
+	again := s.startAt(2, "a", second.endpoint)
+	s.awaitReady(again)
+	before := evacuated.LastOpened()
+	for _, d := range []*daemon{first, again} {
+		for range 5 {
+			answer, err := s.request(d, serviceAddr)
+			is.NoErr(err)
+			is.Equal(answer, other.ID+" hello")
+		}
+	}
+	is.Equal(evacuated.LastOpened(), before)
+	answer, err = flow.Request(again.router(), "2")
+	is.NoErr(err)
+	is.Equal(answer, evacuated.ID+" 2")
+	raw, err := first.status()
+	is.NoErr(err)
+	var status entry.Status
+	is.NoErr(json.Unmarshal(raw, &status))
+	is.Equal(len(status.Evacuations), 1)
+	is.Equal(status.Evacuations[0].Zone, "a")
+	is.Equal(status.Evacuations[0].Servers, 1)
+	is.True(!status.Evacuations[0].Since.IsZero())
+
+	s.store.Delete("op/evacuate/a")
+	for _, d := range []*daemon{first, again} {
+		s.await("return of the zone at "+d.settings.Name, 3*time.Second, func() bool {
+			answer, err := s.request(d, serviceAddr)
+			is.NoErr(err)
+			return strings.HasPrefix(answer, evacuated.ID)
+		})
+	}
+}
+
 // Guards against flows that fail because a server does not answer although another
 // is free: the retransmitted opening packet must go to the other server.
 func TestSilentServerLosesItsFlows(t *testing.T) {
