Follow every request of a flow

Cause: the record of a flow followed its first request only and was deleted after 3 s without packets, so further requests of long flows counted as load on no server, and nothing showed that a caller repeats a request in vain. Change: a packet has its sequence number; cookie.progress tells requests, repeats and answers apart for as long as a flow lives; placement.Resume opens the ticket of a further request; records of idle flows are kept for limits.idle_timeout_ms of the configuration (15 s without it), 3 s while the table is three quarters full. A daemon that gets a request of a flow without a record adopts one, whose server is that of the caller's cookie. A record follows its server's address. Counters flows_adopted and requests_repeated.

--- a/internal/cookie/cookie.go
+++ b/internal/cookie/cookie.go
@@ -22,8 +22,8 @@
 	// Ends is set if the caller has no more data to send, Aborts if it resets
 	// the flow.
 	Ends, Aborts bool
-	// Ack is the caller's acknowledgement number.
-	Ack uint32
+	// Seq is the sequence number of the packet, and Ack the caller's acknowledgement number.
+	Seq, Ack uint32
 	// PayloadLen is the length of the payload in bytes.
 	PayloadLen int
 }
--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -230,18 +230,47 @@
 func (e *Engine) continueFlow(d *directory.Directory, p Packet, now time.Time) (*directory.Server, []Datagram, *refusal) {
 	key := flowKey{p.Caller, p.Service}
 	f := e.flows[key]
-	if f == nil {
+	if f == nil || f.adopted {
 		server, refused := e.serverByCookie(d, p)
-		return server, nil, refused
+		if refused != nil {
+			return nil, nil, refused
+		}
+		if f = e.adopt(d, key, f, server, p, now); f == nil {
+			return server, nil, nil
+		}
 	}
 	f.lastSeen = now
 	if !f.established {
 		e.establish(d, f, p, now)
 	}
+	f.refreshServer(d)
 	e.trackRequest(f, p, now)
 	return f.server, e.correctAlternates(d, f, p, now), nil
 }
 
+// adopt returns the record of a flow that was opened through another daemon. Without a
+// record yet, it adds one with the first payload, so that the flow's requests count here
+// as well. It returns nil if the flow needs no record or the table is full.
+func (e *Engine) adopt(d *directory.Directory, key flowKey, f *flow, server *directory.Server, p Packet, now time.Time) *flow {
+	if f == nil {
+		route := d.Route(p.Service)
+		if p.PayloadLen == 0 || p.Ends || p.Aborts || route == nil {
+			return nil
+		}
+		if f = e.addFlow(key, now); f == nil {
+			return nil
+		}
+		f.adopted, f.established, f.route, f.server = true, true, route, server
+		e.metrics.Count(metrics.FlowsAdopted, 1)
+	}
+	if f.server.Cookie != server.Cookie {
+		e.abandonRequest(f)
+		f.progress = progress{}
+	}
+	f.server = server
+	return f
+}
+
 // correctAlternates returns copies of the opening packet with the cookie of the flow's
 // server for the alternates. A server answers with the last cookie that it received on a
 // flow, so the SYN+ACKs that an alternate repeats no longer change the caller's cookie, and
@@ -312,44 +341,62 @@
 	e.placer.MarkAnswered(f.ticket, now)
 }
 
-// trackRequest updates the request's progress from the caller's packets: the
-// first payload is the request. A new acknowledgement number after it, or the end
-// of the flow, shows that the response has arrived.
+// trackRequest updates the progress of the flow's requests from a packet of the caller.
 func (e *Engine) trackRequest(f *flow, p Packet, now time.Time) {
 	f.ended = f.ended || p.Ends || p.Aborts
-	switch {
-	case f.ticket == nil:
-	case p.Aborts:
+	if p.Aborts {
 		e.abandonRequest(f)
-	case p.PayloadLen > 0 && !f.requested:
-		f.requested, f.requestAck, f.requestedAt = true, p.Ack, now
-		e.placer.MarkRequestSent(f.ticket, now)
-	case f.requested && (p.Ack != f.requestAck || p.Ends):
-		e.metrics.Observe(metrics.RequestAnswered, now.Sub(f.requestedAt))
+		return
+	}
+	s := f.progress.observe(p, now)
+	if s.answered && f.ticket != nil {
+		e.metrics.Observe(metrics.RequestAnswered, s.took)
 		e.placer.Done(f.ticket, now)
 		f.ticket = nil
 	}
+	if s.requested {
+		if f.ticket == nil {
+			f.ticket = e.placer.Resume(f.server, f.route, now)
+		}
+		e.placer.MarkRequestSent(f.ticket, now)
+	}
+	if s.repeated {
+		e.metrics.Count(metrics.RequestsRepeated, 1)
+	}
 }
 
 // Expire deletes the records of flows that have ended or timed out.
 func (e *Engine) Expire(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	idleTimeout := e.idleTimeout()
 	for key, f := range e.flows {
 		overdue := f.isAnswerOverdue(now)
 		if overdue {
 			e.abandonRequest(f)
 			e.metrics.Count(metrics.FlowsUnanswered, 1)
 			e.log.Log(events.FlowUnanswered, zap.Stringer("caller", key.caller), zap.Stringer("service", key.service),
-				zap.String("server", f.server.Name), zap.Bool("accepted", f.established), zap.Bool("asked", f.requested),
+				zap.String("server", f.server.Name), zap.Bool("accepted", f.established), zap.Bool("asked", f.progress.sent),
 				zap.Duration("silent_for", now.Sub(f.lastSeen)))
 		}
-		if overdue && !f.contested || f.ticket == nil && f.expired(now, e.flowLifetime) {
+		if overdue && !f.contested || f.ticket == nil && f.expired(now, e.flowLifetime, idleTimeout) {
 			delete(e.flows, key)
 		}
 	}
 }
 
+// idleTimeout returns how long the record of an idle flow is kept.
+func (e *Engine) idleTimeout() time.Duration {
+	timeout := defaultIdleTimeout
+	if d := e.directories.Current(); d != nil && d.Config.IdleTimeout > 0 {
+		timeout = d.Config.IdleTimeout
+	}
+	if len(e.flows) > crowdedFlows {
+		return min(timeout, endedFlowTTL)
+	}
+	return timeout
+}
+
 // forget deletes the record of a flow.
 func (e *Engine) forget(key flowKey, f *flow) {
 	e.abandonRequest(f)
--- a/internal/cookie/flows.go
+++ b/internal/cookie/flows.go
@@ -12,9 +12,9 @@
 // flowKey identifies a flow by its two endpoints.
 type flowKey struct{ caller, service netip.AddrPort }
 
-// flow is the record of a flow that was opened through this daemon. Packets can
-// be forwarded by their cookies alone; the record tracks the request for the
-// placement and pins the flow to one server if several have accepted it.
+// flow is the record of a flow. Packets can be forwarded by their cookies alone; the record
+// tracks the flow's requests for the placement and pins the flow to one server if several
+// have accepted it.
 type flow struct {
 	server *directory.Server
 	route  *directory.Route
@@ -22,6 +22,9 @@
 	// established is set by the first packet after the opening one, whose cookie
 	// identifies the server that holds the flow.
 	established bool
+	// adopted is set if the flow was opened through another daemon. Its server is the one of
+	// the caller's cookie.
+	adopted bool
 	// ended is set once the caller has sent its last packet or a reset.
 	ended bool
 	// contested is set if a second server may have accepted the flow. That server repeats
@@ -29,13 +32,10 @@
 	contested bool
 	// alternates are the other servers to which this daemon has forwarded the opening
 	// packet, and opening is the last copy of that packet with the codec's headroom.
-	alternates []alternate
-	opening    []byte
-	// requestAck is the acknowledgement number in the caller's request, valid
-	// if requested is set.
-	requestAck                      uint32
-	requested                       bool
-	openedAt, requestedAt, lastSeen time.Time
+	alternates         []alternate
+	opening            []byte
+	progress           progress
+	openedAt, lastSeen time.Time
 	// placedAt is when the opening packet was forwarded to the current server.
 	placedAt time.Time
 }
@@ -57,6 +57,14 @@
 	f.server = s
 }
 
+// refreshServer updates the flow's server from the current directory. A server that has
+// restarted under its id may have another address.
+func (f *flow) refreshServer(d *directory.Directory) {
+	if s := d.ByCookie(f.server.Cookie); s != nil && s.Name == f.server.Name {
+		f.server = s
+	}
+}
+
 // Limits on flow records.
 const (
 	// maxFlows is the maximum number of records, of about 300 bytes each. Flows
@@ -65,9 +73,14 @@
 	// openTimeout bounds the time to establish a flow. Callers give up after
 	// 1.4 s.
 	openTimeout = 1500 * time.Millisecond
-	// endedFlowTTL is how long the record of a finished or idle flow is kept for late
-	// packets. After it, the cookie alone identifies the server.
+	// crowdedFlows is the number of records from which on those of idle flows are deleted
+	// as early as those of finished ones.
+	crowdedFlows = maxFlows * 3 / 4
+	// endedFlowTTL is how long the record of a finished flow is kept for late packets.
 	endedFlowTTL = 3 * time.Second
+	// defaultIdleTimeout is how long the record of an idle flow is kept if the configuration
+	// does not say when idle flows end.
+	defaultIdleTimeout = 15 * time.Second
 	// defaultTimeout is the request timeout of routes that set none.
 	defaultTimeout = 10 * time.Second
 )
@@ -76,7 +89,7 @@
 // one. Callers give up an opening within openTimeout, so a copy that comes later cannot be
 // a retransmission.
 func (f *flow) isReusedBy(p Packet, now time.Time) bool {
-	return f.ended && p.Retransmits == 0 || now.Sub(f.lastSeen) > openTimeout
+	return (f.ended || f.adopted) && p.Retransmits == 0 || now.Sub(f.lastSeen) > openTimeout
 }
 
 // isAnswerOverdue reports whether the flow's ticket has been open for too long.
@@ -94,11 +107,15 @@
 // expired reports whether the record of a flow without a ticket can be deleted. The record
 // of a contested flow is kept for as long as the flow may be open, since the caller's
 // cookie may be that of the wrong server.
-func (f *flow) expired(now time.Time, lifetime time.Duration) bool {
-	if f.contested && f.established && !f.ended {
+func (f *flow) expired(now time.Time, lifetime, idleTimeout time.Duration) bool {
+	switch idle := now.Sub(f.lastSeen); {
+	case f.ended || !f.established:
+		return idle > endedFlowTTL
+	case f.contested:
 		return now.Sub(f.openedAt) > lifetime
+	default:
+		return idle > idleTimeout
 	}
-	return now.Sub(f.lastSeen) > endedFlowTTL
 }
 
 func (f *flow) timeout() time.Duration {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -107,6 +107,9 @@
 type Config struct {
 	Version uint64
 	Routes  []Route
+	// IdleTimeout is how long a flow without packets stays open; zero if the configuration
+	// does not say.
+	IdleTimeout time.Duration
 }
 
 // Directory is an immutable snapshot of the routes, servers and daemons.
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -89,6 +89,7 @@
 	ServersSuspected     Reason = "servers_suspected"
 	FlowsMoved           Reason = "flows_moved"
 	CookiesCorrected     Reason = "cookies_corrected"
+	RequestsRepeated     Reason = "requests_repeated"
 )
 
 var totalNames = []Reason{
@@ -96,7 +97,7 @@
 	FlowsClosed, FlowsExpired, FlowsDeviated, SilentFlows, Ejections,
 	ExceptionsSent, ExceptionsStored, ExceptionsHandover, TablesApplied,
 	StoreCalls, ControlBytesSent, ControlBytesReceived, MembersDied,
-	ProbesSent, FlowsUnanswered, ServersSuspected, FlowsMoved, CookiesCorrected,
+	ProbesSent, FlowsUnanswered, ServersSuspected, FlowsMoved, CookiesCorrected, RequestsRepeated,
 }
 
 // Names of the latency histograms.
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -61,6 +61,16 @@
 	return t
 }
 
+// Resume returns the ticket of a further request on a flow that server s has accepted.
+func (p *Placer) Resume(s *directory.Server, r *directory.Route, now time.Time) *Ticket {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rec := p.state(s.Cookie)
+	rec.inProgress++
+	p.onChange()
+	return &Ticket{server: s.Cookie, zone: s.Zone, route: r.Name, queueFactor: queueFactor(rec, s), answered: true, requestSentAt: now}
+}
+
 // MarkRequestSent records that the flow's request was forwarded to the server,
 // which must have accepted the flow.
 func (p *Placer) MarkRequestSent(t *Ticket, now time.Time) {
