--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -136,6 +136,13 @@
 
 func (s *site) build() error {
 	s.configure(false)
+	// The relays to the servers look the machines up.
+	seeds := s.network.Addr(peerGroup, 1, peerPort).String() + "," + s.network.Addr(peerGroup, 2, peerPort).String()
+	for i := range s.config.Zones * s.config.DaemonsPerZone {
+		m := s.newMachine(i)
+		m.seeds = seeds
+		s.machines = append(s.machines, m)
+	}
 	for zone := range s.config.Zones {
 		for i := range counterServers + guideServers {
 			pool := counterRoute
@@ -147,12 +154,6 @@
 			}
 		}
 	}
-	seeds := s.network.Addr(peerGroup, 1, peerPort).String() + "," + s.network.Addr(peerGroup, 2, peerPort).String()
-	for i := range s.config.Zones * s.config.DaemonsPerZone {
-		m := s.newMachine(i)
-		m.seeds = seeds
-		s.machines = append(s.machines, m)
-	}
 	for i, m := range s.machines {
 		if err := m.writeSettings("info"); err != nil {
 			return err
