--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -159,8 +159,8 @@
 	}
 }
 
-// subject returns the id of the server or the zone that a change concerns, or "config" if
-// it concerns none.
+// subject returns the id of the server that a change concerns, or "config" if it
+// concerns none.
 func (c Change) subject() string {
 	switch {
 	case c.Server != nil:
@@ -169,8 +169,6 @@
 		return c.Invalid
 	case c.Deleted != "":
 		return c.Deleted
-	case c.Evacuated != "":
-		return c.Evacuated
 	}
 	return "config"
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -145,9 +145,8 @@
 // Route returns the route of a service address, or nil.
 func (d *Directory) Route(a netip.AddrPort) *Route { return d.routes[a] }
 
-// Candidates returns the servers of a pool that take new flows, sorted by name. It leaves
-// out those in evacuated zones.
-// The slice and the servers must not be modified.
+// Candidates returns the servers of a pool that take new flows, sorted by name. Those in
+// evacuated zones take none. The slice and the servers must not be modified.
 func (d *Directory) Candidates(pool string) []*Server { return d.pools[pool] }
 
 // ByCookie returns the server with a cookie, or nil. It finds retired servers for
