Decode the limits of cold servers

Cause: the configuration states for each pool how long its servers are cold and how many requests a second a cold one bears; neither was read. Change: both are part of the directory's configuration.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -107,6 +107,17 @@
 type Config struct {
 	Version uint64
 	Routes  []Route
+	// Pools holds the settings of pools by name.
+	Pools map[string]PoolSettings
+}
+
+// PoolSettings is what the configuration states of the servers of a pool.
+type PoolSettings struct {
+	// ColdStart is how long a server is slow after its start; zero if unknown.
+	ColdStart time.Duration
+	// ColdPerSecond limits the new flows that all daemons together place on a server in
+	// any second while it is cold. There is no limit if it is zero.
+	ColdPerSecond float64
 }
 
 // Directory is an immutable snapshot of the routes, servers and daemons.
@@ -144,6 +155,18 @@
 // The slice and the servers must not be modified.
 func (d *Directory) Candidates(pool string) []*Server { return d.pools[pool] }
 
+// Pools returns the servers that take new flows by the name of their pool. The map, the
+// slices and the servers must not be modified.
+func (d *Directory) Pools() map[string][]*Server { return d.pools }
+
+// Pool returns the settings of a pool, which are zero if the configuration has none.
+func (d *Directory) Pool(name string) PoolSettings {
+	if d.Config == nil {
+		return PoolSettings{}
+	}
+	return d.Config.Pools[name]
+}
+
 // ByCookie returns the server with a cookie, or nil. It finds retired servers for
 // as long as they may have open flows.
 func (d *Directory) ByCookie(c Cookie) *Server { return d.byCookie[c] }
