Load a starting server as it answers

Cause: 62 daemons that each know little of the others sent a server that had just started more than it could hold, or, with the fixed slowness of cold servers, next to nothing. Change: placement asks the pace of each server. A server beyond its bound costs half of the route's target latency more, so that others are preferred while they answer as well and no flow is refused; the daemon that leads a stage gives it one flow; bounds don't count when more than half of a pool's slots are paced. Periods begin with a start, a return of the registration or of its zone, and, where cold_start_s or cold_remaining_ms is stated, with the end of a silence that others noticed too or of a slowness, which is now tried out. A flow is refused at once only if all servers of its pool are at their configured limit (cold_limit). Events 444, 445.

--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -175,14 +175,18 @@
 	avoid := directory.Cookie(0)
 	if f != nil && f.ticket != nil {
 		avoid = f.server.Cookie
-		e.placer.Abandon(f.ticket)
+		e.placer.Fail(f.ticket, now)
 	}
 	pool := route.Pool(uint64(p.Caller.Port()))
 	candidates := d.Candidates(pool)
-	server, ticket := e.placer.Choose(placement.Request{Route: route, Candidates: candidates, Avoid: avoid, Now: now})
+	server, ticket := e.placer.Choose(placement.Request{Route: route, Candidates: candidates, Avoid: avoid, ColdPerSecond: d.Pool(pool).ColdPerSecond, Now: now})
 	if server == nil {
-		e.logRefusal(d, p, metrics.NoUsableServer, now)
-		return nil, &refusal{metrics.NoUsableServer, !now.Before(d.SettledAt)}
+		reason := metrics.NoUsableServer
+		if len(candidates) > 0 {
+			reason = metrics.ColdLimit
+		}
+		e.logRefusal(d, p, reason, now)
+		return nil, &refusal{reason, len(candidates) > 0 || !now.Before(d.SettledAt)}
 	}
 	e.metrics.Count(metrics.FlowsOpened, 1)
 	if avoid != 0 && avoid != server.Cookie {
@@ -338,7 +342,8 @@
 	for key, f := range e.flows {
 		overdue := f.isAnswerOverdue(now)
 		if overdue {
-			e.abandonRequest(f)
+			e.placer.Fail(f.ticket, now)
+			f.ticket = nil
 			e.metrics.Count(metrics.FlowsUnanswered, 1)
 			e.log.Log(events.FlowUnanswered, zap.Stringer("caller", key.caller), zap.Stringer("service", key.service),
 				zap.String("server", f.server.Name), zap.Bool("accepted", f.established), zap.Bool("asked", f.requested),
--- a/internal/cookie/engine_test.go
+++ b/internal/cookie/engine_test.go
@@ -457,3 +457,21 @@
 	h.now = h.now.Add(placement.AcceptTimeout)
 	h.is.True(h.open(2) != first)
 }
+
+// Guards against flows beyond the configured limit of cold servers, and against callers that
+// wait for such a flow in vain.
+func TestColdServersAtTheirLimitRefuseFlowsAtOnce(t *testing.T) {
+	h := newHarness(t)
+	config := *h.directories.current.Config
+	config.Pools = map[string]directory.PoolSettings{"p": {ColdPerSecond: 10}}
+	changes := []directory.Change{{Config: &config}}
+	for _, s := range []*directory.Server{server(1, "10.0.0.1:80"), server(2, "10.0.0.2:80")} {
+		s.ColdFor, s.ReadAt = time.Second, h.now
+		changes = append(changes, directory.Change{Server: s})
+	}
+	h.apply(changes...)
+	h.is.True(h.send(Packet{Opens: true}).Reset) // no daemon is registered that may place flows
+	h.is.Equal(h.metrics.Refusals().Value(metrics.ColdLimit), int64(1))
+	h.apply(directory.Change{Server: server(2, "10.0.0.2:80")})
+	h.is.Equal(h.open(0), directory.Cookie(2)) // a warm one
+}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -104,11 +104,14 @@
 			return d.follower.Position(), d.follower.Age(now)
 		},
 	})
-	d.evidence = evidence.NewPool()
+	d.placer.SetPace(placement.PaceOptions{
+		Self: o.Settings.Peer.Addr(), MaxDirectoryAge: watch.MaxAge(), DirectoryAge: d.follower.Age, OnChange: d.logPace,
+	})
+	d.evidence = evidence.NewPool(d.placer)
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
-	d.follower.OnChange(d.placer.Prune)
+	d.follower.OnChange(d.placer.Apply)
 	d.follower.OnChange(d.exchange.Apply)
 	d.placer.OnChange(d.exchange.ReportLoad)
 	d.placer.OnAvoidanceChange(d.logAvoidanceChange)
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -23,6 +23,9 @@
 	Flows          int   `json:"flows"`
 	PeersKnown     int   `json:"peers_known"`
 	PeersLive      int   `json:"peers_live"`
+	// PacedServers are the ids of servers that have started or recovered and get only
+	// as much as they have shown that they can answer.
+	PacedServers []string `json:"paced_servers,omitempty"`
 }
 
 // Status returns the daemon's Status as JSON.
@@ -38,6 +41,7 @@
 		s.ConfigVersion, s.Servers = dir.Config.Version, dir.ServerCount()
 		s.DirectoryAgeMS = d.follower.Age(now).Milliseconds()
 	}
+	s.PacedServers = d.placer.PacedServers(now)
 	s.PeersKnown, s.PeersLive = d.table.PeerCounts(now)
 	return json.Marshal(s)
 }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -80,6 +80,8 @@
 	ServerRecovered = Event{Number: 434, Level: infoLevel, Message: "server accepts flows again", Action: "none", PerSecond: serverLinesPerSecond}
 	ZoneUnreachable = Event{Number: 435, Level: warnLevel, Message: "zone is not reachable", Action: "check the network between the zones"}
 	ZoneReachable   = Event{Number: 436, Level: infoLevel, Message: "zone is reachable again", Action: "none"}
+	PaceStarted     = Event{Number: 444, Level: infoLevel, Message: "server is paced", Action: "none", PerSecond: serverLinesPerSecond}
+	PaceEnded       = Event{Number: 445, Level: infoLevel, Message: "server is no longer paced", Action: "none", PerSecond: serverLinesPerSecond}
 	CookieCorrected = Event{Number: 437, Level: infoLevel, Message: "second server that accepted a flow was told the cookie of the flow's server", Action: "none", PerSecond: flowLinesPerSecond}
 )
 
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -33,6 +33,7 @@
 	NoCookie          Reason = "no_cookie"
 	UnknownCookie     Reason = "unknown_cookie"
 	StalePacket       Reason = "stale_packet"
+	ColdLimit         Reason = "cold_limit"
 )
 
 var refusalReasons = []Reason{
@@ -41,7 +42,7 @@
 	FlowTableFull, NewFlowRate, NoStanding, NoOwner, NoTables, ResetUnconfirmed,
 	ICMPUnknownFlow, StaleTables, PeerNotMember, PeerRefused, LinkQueueFull, ExceptionBudget,
 	ExceptionStale, TablesRegressed, StoreBudget, SendFailed,
-	SilentFlow, NoCookie, UnknownCookie, StalePacket,
+	SilentFlow, NoCookie, UnknownCookie, StalePacket, ColdLimit,
 }
 
 // Reasons for retrying a call.
@@ -89,6 +90,8 @@
 	ServersSuspected     Reason = "servers_suspected"
 	FlowsMoved           Reason = "flows_moved"
 	CookiesCorrected     Reason = "cookies_corrected"
+	PacesStarted         Reason = "paces_started"
+	PacesEnded           Reason = "paces_ended"
 )
 
 var totalNames = []Reason{
@@ -97,6 +100,7 @@
 	ExceptionsSent, ExceptionsStored, ExceptionsHandover, TablesApplied,
 	StoreCalls, ControlBytesSent, ControlBytesReceived, MembersDied,
 	ProbesSent, FlowsUnanswered, ServersSuspected, FlowsMoved, CookiesCorrected,
+	PacesStarted, PacesEnded,
 }
 
 // Names of the latency histograms.
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -28,6 +28,14 @@
 	// One server in five is five times slower from slowFrom until slowUntil, and
 	// stops answering at deadFrom unless that is zero.
 	slowFrom, slowUntil, deadFrom time.Duration
+	// The servers for which started reports true work coldFactor times slower from startAt
+	// for coldFor.
+	started          func(server int) bool
+	startAt, coldFor time.Duration
+	coldFactor       float64
+	// observe is called with each request that reaches a server, and the number of those
+	// that it has already; nil if nobody wants to know.
+	observe func(server int, now time.Duration, busy int)
 	// duration is the simulated time.
 	duration time.Duration
 }
@@ -125,9 +133,15 @@
 	if i%5 == 0 && now >= m.slowFrom && now < m.slowUntil {
 		speed /= 5
 	}
+	if m.started != nil && m.started(i) && now < m.startAt+m.coldFor {
+		speed /= m.coldFactor
+	}
 	for len(s.finishTimes) > 0 && s.finishTimes[0] <= now {
 		s.finishTimes = s.finishTimes[1:]
 	}
+	if m.observe != nil {
+		m.observe(i, now, len(s.finishTimes))
+	}
 	if m.deadFrom > 0 && now >= m.deadFrom && i%5 == 0 || len(s.finishTimes) >= modelSlots+modelQueueLimit {
 		out.lost++
 		schedule(now+time.Second, func(time.Duration) { drop() })
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -56,10 +56,12 @@
 	}
 }
 
-// ExpirePeers removes reports older than peerLoadTTL.
+// ExpirePeers removes reports older than peerLoadTTL. It must be called several times a
+// second.
 func (p *Placer) ExpirePeers(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.pacer.Confirmed(now.Add(-p.directoryAge(now)), now)
 	for name, l := range p.peers {
 		if now.Sub(l.receivedAt) > peerLoadTTL {
 			p.addPeerLoad(l, -1)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,8 +3,8 @@
 // and its peers have in progress, the speeds learned from finished requests, and
 // the servers and zones that do not answer.
 //
-// It never refuses a flow because of load: Choose returns nil only if there are
-// no candidates.
+// It never refuses a flow because of load or pace: Choose returns nil only if there are
+// no candidates, or if all of them are cold and at their configured limits.
 package placement
 
 import (
@@ -14,6 +14,7 @@
 	"time"
 
 	"knapweedshore.example/internal/directory"
+	"knapweedshore.example/internal/pace"
 )
 
 // Costs that are added to a server's expected latency.
@@ -33,6 +34,8 @@
 	// Avoid is the cookie of a server that has already failed to answer this flow;
 	// zero if there is none.
 	Avoid directory.Cookie
+	// ColdPerSecond is the limit on the new flows of each cold server; zero if there is none.
+	ColdPerSecond float64
 	// Now is the current time.
 	Now time.Time
 }
@@ -53,10 +56,14 @@
 	onChange          func()
 	onAvoidanceChange func(AvoidanceChange)
 	unreachable       func(zone string, now time.Time) bool
+	pacer             *pace.Pacer
+	directoryAge      func(now time.Time) time.Duration
 }
 
 // serverState is the state of one backend server.
 type serverState struct {
+	// zone is the server's availability zone, empty until the server was a candidate.
+	zone string
 	// inProgress and peerInProgress are the numbers of requests in progress that
 	// this daemon and its peers have placed.
 	inProgress     int
@@ -67,7 +74,8 @@
 	lastAnswer time.Time
 	// slowness is the learned ratio of the server's service time to the average of
 	// the route.
-	slowness float64
+	slowness  float64
+	slowRetry slowRetry
 	// started identifies the process that slowness was learned from.
 	started int64
 	suspicion
@@ -76,11 +84,13 @@
 // New returns a Placer for a daemon in a zone. The seed is used to break ties and
 // must differ between daemons.
 func New(zone string, seed uint64) *Placer {
-	return &Placer{
+	p := &Placer{
 		zone: zone, random: rand.New(rand.NewPCG(seed, 0)), servers: map[directory.Cookie]*serverState{}, zones: map[string]*suspicion{},
 		serviceTimes: map[string]time.Duration{}, peers: map[string]*peerLoad{}, unreachableZones: map[string]bool{},
 		onChange: func() {}, onAvoidanceChange: func(AvoidanceChange) {}, unreachable: func(string, time.Time) bool { return false },
 	}
+	p.SetPace(PaceOptions{DirectoryAge: func(time.Time) time.Duration { return 0 }})
+	return p
 }
 
 // OnChange sets the function to call when the number of requests in progress has
@@ -103,15 +113,18 @@
 }
 
 // Choose returns the candidate with the lowest cost and a ticket for the flow, or
-// nil if there are no candidates. Ties are broken at random, so that daemons that
+// nil if there are no candidates that take a flow. Ties are broken at random, so that daemons that
 // have learned nothing yet spread their flows.
 func (p *Placer) Choose(r Request) (*directory.Server, *Ticket) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *directory.Server
 	bestCost, ties := math.Inf(1), 0
-	e := estimator{placer: p, request: r, serviceTime: p.serviceTime(r.Route.Name).Seconds(), zoneCosts: map[string]float64{}}
+	e := estimator{placer: p, request: r, serviceTime: p.serviceTime(r.Route.Name).Seconds(), zoneCosts: map[string]float64{}, pace: p.paceRules(r)}
 	for _, s := range r.Candidates {
+		if !e.mayPlace(s) {
+			continue
+		}
 		cost := e.cost(s)
 		switch {
 		case cost < bestCost:
@@ -126,6 +139,7 @@
 	if best == nil {
 		return nil, nil
 	}
+	p.pacer.Placed(best, r.Now)
 	return best, p.open(best, r, time.Duration(bestCost*float64(time.Second)))
 }
 
@@ -137,6 +151,7 @@
 	// serviceTime is the average of the route in seconds.
 	serviceTime float64
 	zoneCosts   map[string]float64
+	pace        paceRules
 }
 
 // cost returns the expected time in seconds until the request finishes on a server, plus
@@ -144,18 +159,22 @@
 func (e *estimator) cost(s *directory.Server) float64 {
 	p, now := e.placer, e.request.Now
 	rec := p.state(s.Cookie)
+	rec.zone = s.Zone
 	if rec.started != s.Started {
 		rec.started, rec.slowness = s.Started, 1
 	}
 	slowness := rec.slowness
-	if s.Cold(now) {
+	if s.Cold(now) && !p.pacer.Enabled() {
 		slowness = max(slowness, coldSlowness)
 	}
 	cost := slowness*queueFactor(rec, s)*e.serviceTime + e.zoneCost(s.Zone)
 	if p.serverAvoided(s.Cookie, rec, now) || s.Cookie == e.request.Avoid {
-		cost += suspicionPenalty.Seconds()
+		return cost + suspicionPenalty.Seconds()
 	}
-	return cost
+	if cost >= suspicionPenalty.Seconds() {
+		return cost // the zone is to be avoided
+	}
+	return e.paced(s, rec, cost)
 }
 
 // zoneCost returns the cost of a zone's distance, and the penalty if it is to be avoided.
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -21,7 +21,7 @@
 	// minSlowness and maxSlowness bound the estimate for one server.
 	minSlowness, maxSlowness = 0.2, 10.0
 	// coldSlowness is the minimum slowness assumed while a server reports that it
-	// is cold.
+	// is cold, in a fleet too small for paces.
 	coldSlowness = 1.6
 )
 
@@ -37,6 +37,8 @@
 	queueFactor float64
 	// expected is the estimated time until the response.
 	expected time.Duration
+	// timely is the time within which the answer counts as timely.
+	timely   time.Duration
 	answered bool
 	closed   bool
 }
@@ -51,7 +53,7 @@
 // open creates the ticket of a new flow. p.mu must be held.
 func (p *Placer) open(s *directory.Server, r Request, expected time.Duration) *Ticket {
 	rec := p.state(s.Cookie)
-	t := &Ticket{server: s.Cookie, zone: s.Zone, route: r.Route.Name, queueFactor: queueFactor(rec, s), expected: expected}
+	t := &Ticket{server: s.Cookie, zone: s.Zone, route: r.Route.Name, queueFactor: queueFactor(rec, s), expected: expected, timely: timelyTime(r.Route)}
 	rec.inProgress++
 	rec.recordFlowOpened(r.Now)
 	if s.Zone != p.zone {
@@ -87,6 +89,9 @@
 	t.answered = true
 	rec := p.state(t.server)
 	rec.lastAnswer = now
+	if rec.suspectedFor > initialSuspicion { // a trial has failed, so that not only one packet was lost
+		p.recordEndOfSilence(t, rec, now)
+	}
 	if rec.recordAnswer() {
 		p.onAvoidanceChange(AvoidanceChange{Server: t.server})
 	}
@@ -106,7 +111,7 @@
 	p.markAnswered(t, now)
 	p.close(t)
 	if !t.requestSentAt.IsZero() {
-		p.updateAverages(t, now.Sub(t.requestSentAt))
+		p.updateAverages(t, now)
 	}
 }
 
@@ -117,6 +122,16 @@
 	p.close(t)
 }
 
+// Fail closes the ticket of a flow whose server has not answered in time.
+func (p *Placer) Fail(t *Ticket, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !t.closed {
+		p.pacer.Failed(t.server, now)
+	}
+	p.close(t)
+}
+
 func (p *Placer) close(t *Ticket) {
 	if t.closed {
 		return
@@ -129,17 +144,20 @@
 }
 
 // updateAverages adds a finished request to the averages of its route and server.
-func (p *Placer) updateAverages(t *Ticket, took time.Duration) {
+func (p *Placer) updateAverages(t *Ticket, now time.Time) {
+	took := now.Sub(t.requestSentAt)
 	rec := p.state(t.server)
 	serviceTime, known := p.serviceTimes[t.route]
 	if !known {
 		p.serviceTimes[t.route] = max(time.Millisecond, time.Duration(float64(took)/t.queueFactor))
+		p.recordPace(t, rec, 1, now)
 		return
 	}
 	sample := took.Seconds() / t.queueFactor / serviceTime.Seconds()
 	sample = min(maxSample, max(minSample, sample))
 	p.serviceTimes[t.route] = max(time.Millisecond, time.Duration(float64(serviceTime)*(1+serviceTimeGain*(sample/rec.slowness-1))))
 	rec.slowness = min(maxSlowness, max(minSlowness, rec.slowness+slownessGain*(sample-rec.slowness)))
+	p.recordPace(t, rec, sample, now)
 }
 
 // serviceTime returns the average service time of a route's requests on a server
