--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -95,5 +95,6 @@
 		DirectoryApplied, ItemRefused, StoreWatchChanged, RegistrationFailed, DirectoryFromPeer, StoreListed, StoreRestored,
 		ServerEjected, ServerReinstated, EjectionRefused, SilentFlow, FlowTableFull, NewFlowLimited, BackupChanged,
 		FlowPlaced, FlowRefused, FlowUnanswered, ServerSuspected, ServerRecovered, ZoneUnreachable, ZoneReachable, CookieCorrected,
+		PaceStarted, PaceEnded,
 	}
 }
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -21,7 +21,7 @@
 
 const (
 	// minFleet is the number of daemons from which servers are paced. The daemons of a
-	// smaller fleet all report to each other within a tenth of a second, so that each knows
+	// smaller fleet all report to each other within a fifth of a second, so that each knows
 	// what a server has in progress.
 	minFleet = 13
 	// stageTime is how long a stage lasts at most. A server is open to all daemons after
