--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -25,6 +25,9 @@
 	PeersLive      int   `json:"peers_live"`
 	// Evacuations lists the evacuated availability zones.
 	Evacuations []Evacuation `json:"evacuations"`
+	// PacedServers are the ids of servers that have started or recovered and get only
+	// as much as they have shown that they can answer.
+	PacedServers []string `json:"paced_servers,omitempty"`
 }
 
 // Evacuation is an evacuated availability zone in a Status.
@@ -60,6 +63,7 @@
 			})
 		}
 	}
+	s.PacedServers = d.placer.PacedServers(now)
 	s.PeersKnown, s.PeersLive = d.table.PeerCounts(now)
 	return json.Marshal(s)
 }
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -35,6 +35,7 @@
 	StalePacket       Reason = "stale_packet"
 	PoolEvacuated     Reason = "pool_evacuated"
 	EvacuatedCopy     Reason = "evacuated_copy"
+	ColdLimit         Reason = "cold_limit"
 )
 
 var refusalReasons = []Reason{
@@ -43,7 +44,7 @@
 	FlowTableFull, NewFlowRate, NoStanding, NoOwner, NoTables, ResetUnconfirmed,
 	ICMPUnknownFlow, StaleTables, PeerNotMember, PeerRefused, LinkQueueFull, ExceptionBudget,
 	ExceptionStale, TablesRegressed, StoreBudget, SendFailed,
-	SilentFlow, NoCookie, UnknownCookie, StalePacket, PoolEvacuated, EvacuatedCopy,
+	SilentFlow, NoCookie, UnknownCookie, StalePacket, PoolEvacuated, EvacuatedCopy, ColdLimit,
 }
 
 // Reasons for retrying a call.
@@ -92,6 +93,8 @@
 	FlowsMoved           Reason = "flows_moved"
 	CookiesCorrected     Reason = "cookies_corrected"
 	RequestsRepeated     Reason = "requests_repeated"
+	PacesStarted         Reason = "paces_started"
+	PacesEnded           Reason = "paces_ended"
 )
 
 var totalNames = []Reason{
@@ -100,6 +103,7 @@
 	ExceptionsSent, ExceptionsStored, ExceptionsHandover, TablesApplied,
 	StoreCalls, ControlBytesSent, ControlBytesReceived, MembersDied,
 	ProbesSent, FlowsUnanswered, ServersSuspected, FlowsMoved, CookiesCorrected, RequestsRepeated,
+	PacesStarted, PacesEnded,
 }
 
 // Names of the latency histograms.
