Pace only servers that are known to start slowly

Cause: starts and returns were paced on every deployment with 13 daemons or more, also where neither the configuration nor a registration says that servers are slow at first. Change: one condition for starts, returns and recoveries: cold_start_s above zero, or a registration with cold_remaining_ms above zero.

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -116,8 +116,9 @@
 	current *directory.Server
 	// inUse is set while the server takes new flows.
 	inUse bool
-	// recovers is set if recoveries are paced and not only starts.
-	recovers bool
+	// enabled is set if the configuration or the registration says that the server is slow
+	// after its start.
+	enabled bool
 	// period and stage are the greatest pair that is known, finalStage after the period.
 	period uint64
 	stage  int
@@ -185,9 +186,9 @@
 	restarted := rec.current != nil && rec.current.Started != s.Started
 	known := rec.current != nil
 	rec.current = s
-	rec.recovers = settings.ColdStart > 0 || s.ColdFor > 0
+	rec.enabled = settings.ColdStart > 0 || s.ColdFor > 0
 	switch {
-	case first && !s.Cold(now):
+	case !rec.enabled, first && !s.Cold(now):
 	case restarted, !known:
 		p.begin(rec, max(rec.period, firstPeriod(s)), ReasonStart, now)
 	case !rec.inUse:
@@ -377,7 +378,7 @@
 
 // Recovered begins a period of a server that was silent or slow and answers well again.
 func (p *Pacer) Recovered(c directory.Cookie, now time.Time) {
-	if rec := p.get(c, now); rec != nil && rec.inUse && rec.recovers && !rec.isPaced() {
+	if rec := p.get(c, now); rec != nil && rec.inUse && rec.enabled && !rec.isPaced() {
 		p.begin(rec, rec.period+1, ReasonRecovery, now)
 	}
 }
@@ -386,7 +387,7 @@
 // if recoveries of the server are paced.
 func (p *Pacer) FirstSponsor(c directory.Cookie) bool {
 	rec := p.servers[c]
-	return p.Enabled() && rec != nil && rec.inUse && rec.recovers && p.rank(rec) == 0
+	return p.Enabled() && rec != nil && rec.inUse && rec.enabled && p.rank(rec) == 0
 }
 
 // Merge adds a row of a peer's report. It reports whether a period of the server began by it.
