Judge by joined evidence which servers are gone

Cause: a server that ends without a word keeps its open flows until each caller's deadline, since one daemon can't tell it from a cut, and an expired registration not from a store that was away. Change: evidence.Silences collects repeated requests, proofs of life, and probes, passes them on in the reports, and evidence.Judge decides from them, the vanished registration and a successor at the address. A statement counts only if this daemon reached the server's zone at the same time.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -127,6 +127,7 @@
 	byCookie map[Cookie]*Server
 	servers  int
 	vms      map[netip.Addr]*VM
+	derived  derived
 }
 
 // VM is the registration of a daemon.
--- a/internal/exchange/evidence.go
+++ b/internal/exchange/evidence.go
@@ -10,10 +10,10 @@
 )
 
 // Limits on the evidence in a report, whatever the number of servers: together they
-// take less than a quarter of maxReportSize.
+// take less than half of maxReportSize.
 const (
-	maxReportedSilences = 6
-	maxReportedHeard    = 4
+	maxReportedSilences = evidence.MaxReportedSilences
+	maxReportedHeard    = evidence.MaxReportedHeard
 	maxReportedPaces    = 8
 	maxReportedOutcomes = 8
 	// maxReportedStage, maxReportedOutcome and maxReportedFlows limit the numbers that a
