Reset open flows whose server is gone

Cause: on the sites with long flows, callers waited for their deadline on servers that every daemon knew to be gone. Change: with limits.reset_gone_flows, on routes with several requests on a flow, a packet with data to a server that is gone is answered with a reset by any daemon; daemons with a record reset waiting flows at once and idle ones paced; new flows avoid the server; flows of a server that restarted under its id are reset too. Probes run in a loop of their own. Events 450 to 453, counters flows_reset, servers_gone, server_probes, server_gone, status.servers_gone.

--- a/cmd/knapweedshored/entry_test.go
+++ b/cmd/knapweedshored/entry_test.go
@@ -59,6 +59,7 @@
 		7 * time.Second, 4500 * time.Millisecond, 2500 * time.Millisecond, 2 * time.Second, 50 * time.Second,
 	})
 	is.Equal(s.PeerListen, s.Peer)
+	is.True(s.ResetGoneFlows)
 
 	// The platform gives no seeds and no bounds.
 	minimal := maps.Clone(platformValues)
@@ -75,11 +76,11 @@
 func TestEntryChecksItsSettings(t *testing.T) {
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "entry.ini")
-	is.NoErr(os.WriteFile(path, []byte("[vm]\nname = ?\nregion = r\nzone = a\n[limits]\ngrace_s = -1\nrecovery_ms = x\n"), 0o600))
+	is.NoErr(os.WriteFile(path, []byte("[vm]\nname = ?\nregion = r\nzone = a\n[limits]\ngrace_s = -1\nrecovery_ms = x\nreset_gone_flows = 1\n"), 0o600))
 	for _, args := range [][]string{{"entry", "--config", path}, {"check-config", "--entry", "--config", path}} {
 		got := execute(args...)
 		is.Equal(got.code, exitFailure)
-		for _, part := range []string{`"name"`, `"grace_s"`, `"recovery_ms"`, `"data"`, `"store"`} {
+		for _, part := range []string{`"name"`, `"grace_s"`, `"recovery_ms"`, `"reset_gone_flows"`, `"data"`, `"store"`} {
 			is.True(strings.Contains(got.err, part))
 		}
 	}
--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -10,6 +10,7 @@
 
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/evidence"
 	"knapweedshore.example/internal/metrics"
 	"knapweedshore.example/internal/placement"
 )
@@ -38,9 +39,15 @@
 	log         *events.Logger
 	// flowLifetime is the maximum lifetime of a flow.
 	flowLifetime time.Duration
+	// silences is nil if flows of servers that are gone are not reset.
+	silences *evidence.Silences
 
 	mu    sync.Mutex
 	flows map[flowKey]*flow
+	// longRoutes are the routes on whose flows callers have sent more than one request.
+	longRoutes map[string]bool
+	// lastDirectory is that of the last call of Expire.
+	lastDirectory *directory.Directory
 	// lastPacketAt is when the last packet arrived.
 	lastPacketAt time.Time
 }
@@ -52,15 +59,17 @@
 	Placer      *placement.Placer
 	// FlowLifetime is the maximum lifetime of a flow.
 	FlowLifetime time.Duration
-	Metrics      *metrics.Registry
-	Log          *events.Logger
+	// Silences is the evidence that servers are gone. If it is nil, open flows are not reset.
+	Silences *evidence.Silences
+	Metrics  *metrics.Registry
+	Log      *events.Logger
 }
 
 // NewEngine returns an Engine without flows.
 func NewEngine(o Options) *Engine {
 	return &Engine{
 		codec: o.Codec, directories: o.Directories, placer: o.Placer, flowLifetime: o.FlowLifetime, metrics: o.Metrics, log: o.Log,
-		flows: map[flowKey]*flow{},
+		silences: o.Silences, flows: map[flowKey]*flow{}, longRoutes: map[string]bool{},
 	}
 }
 
@@ -178,7 +187,7 @@
 		e.placer.Abandon(f.ticket)
 	}
 	pool := route.Pool(uint64(p.Caller.Port()))
-	candidates := d.Candidates(pool)
+	candidates := e.withoutGone(d.Candidates(pool))
 	server, ticket := e.placer.Choose(placement.Request{Route: route, Candidates: candidates, Avoid: avoid, Now: now})
 	if server == nil {
 		e.logRefusal(d, p, metrics.NoUsableServer, now)
@@ -232,6 +241,9 @@
 	f := e.flows[key]
 	if f == nil || f.adopted {
 		server, refused := e.serverByCookie(d, p)
+		if refused == nil && f == nil {
+			refused = e.refuseGone(server, d.Route(p.Service), p, now)
+		}
 		if refused != nil {
 			return nil, nil, refused
 		}
@@ -244,6 +256,10 @@
 		e.establish(d, f, p, now)
 	}
 	f.refreshServer(d)
+	if refused := e.refuseGone(f.server, f.route, p, now); refused != nil {
+		e.forget(key, f)
+		return nil, nil, refused
+	}
 	e.trackRequest(f, p, now)
 	return f.server, e.correctAlternates(d, f, p, now), nil
 }
@@ -339,6 +355,9 @@
 	}
 	e.metrics.Observe(metrics.FlowAccepted, now.Sub(f.openedAt))
 	e.placer.MarkAnswered(f.ticket, now)
+	if e.silences != nil {
+		e.silences.Answered(f.server, f.placedAt, now)
+	}
 }
 
 // trackRequest updates the progress of the flow's requests from a packet of the caller.
@@ -363,12 +382,15 @@
 	if s.repeated {
 		e.metrics.Count(metrics.RequestsRepeated, 1)
 	}
+	e.reportProgress(f, s, now)
 }
 
-// Expire deletes the records of flows that have ended or timed out.
-func (e *Engine) Expire(now time.Time) {
+// Expire deletes the records of flows that have ended or timed out. It returns the resets
+// for flows whose servers are gone.
+func (e *Engine) Expire(now time.Time) []Verdict {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	resets := e.resetGone(now)
 	idleTimeout := e.idleTimeout()
 	for key, f := range e.flows {
 		overdue := f.isAnswerOverdue(now)
@@ -383,6 +405,7 @@
 			delete(e.flows, key)
 		}
 	}
+	return resets
 }
 
 // idleTimeout returns how long the record of an idle flow is kept.
--- a/internal/cookie/flows.go
+++ b/internal/cookie/flows.go
@@ -32,9 +32,13 @@
 	contested bool
 	// alternates are the other servers to which this daemon has forwarded the opening
 	// packet, and opening is the last copy of that packet with the codec's headroom.
-	alternates         []alternate
-	opening            []byte
-	progress           progress
+	alternates []alternate
+	opening    []byte
+	progress   progress
+	// period is that of the server's evidence in which the flow was last counted.
+	period uint64
+	// restarted is set if the server has started again since the flow was opened.
+	restarted          bool
 	openedAt, lastSeen time.Time
 	// placedAt is when the opening packet was forwarded to the current server.
 	placedAt time.Time
@@ -60,9 +64,14 @@
 // refreshServer updates the flow's server from the current directory. A server that has
 // restarted under its id may have another address.
 func (f *flow) refreshServer(d *directory.Directory) {
-	if s := d.ByCookie(f.server.Cookie); s != nil && s.Name == f.server.Name {
-		f.server = s
+	s := d.ByCookie(f.server.Cookie)
+	if s == nil || s.Name != f.server.Name {
+		return
 	}
+	// The flow may have been opened to the new process before that was registered.
+	opened := f.openedAt.Add(maxClockError).UnixMilli()
+	f.restarted = f.restarted || f.server.Started != 0 && s.Started > f.server.Started && s.Started > opened
+	f.server = s
 }
 
 // Limits on flow records.
--- a/internal/cookie/progress.go
+++ b/internal/cookie/progress.go
@@ -19,8 +19,9 @@
 	// requestedAt is when the last request was sent, and sentAt when payload was last sent
 	// for it.
 	requestedAt, sentAt time.Time
-	// repeats counts how often payload of the current request was sent again in vain.
-	repeats int
+	// repeats counts how often payload of the current request was sent again in vain, and
+	// requests the requests of the flow.
+	repeats, requests int
 }
 
 // step is what one packet shows. A packet may acknowledge an answer and carry the next
@@ -29,6 +30,8 @@
 	// answered is set if the answer to a request has arrived, after took.
 	answered bool
 	took     time.Duration
+	// advanced is set if a packet of the server has just arrived.
+	advanced bool
 	// requested is set on the first packet of a request, repeated if the packet repeats
 	// payload that the server has not acknowledged.
 	requested, repeated bool
@@ -43,6 +46,8 @@
 	if advanced || !g.acknowledged {
 		g.acked, g.acknowledged = p.Ack, true
 	}
+	// The acknowledgement in a packet with payload may be about data that arrived long ago.
+	s.advanced = advanced && (g.waiting || p.PayloadLen == 0)
 	if g.waiting && (advanced || p.Ends) {
 		g.waiting = false
 		s.answered, s.took = true, now.Sub(g.requestedAt)
@@ -56,6 +61,7 @@
 		g.sentTo, g.sent, g.sentAt = end, true, now
 		if !g.waiting && !p.Ends {
 			g.waiting, g.requestedAt, g.repeats = true, now, 0
+			g.requests++
 			s.requested = true
 		}
 	case g.waiting && now.Sub(g.sentAt) >= minRepeatDelay:
--- a/internal/cookie/progress_test.go
+++ b/internal/cookie/progress_test.go
@@ -33,11 +33,11 @@
 		is.Equal(observe(200*time.Millisecond, seq, ack, 100), step{repeated: true, previouslySentAt: first})
 		is.Equal(observe(time.Millisecond, seq+100, ack, 100), step{}) // the rest of the same retransmission
 		is.Equal(g.repeats, 1)
-		is.Equal(observe(50*time.Millisecond, seq+200, ack+500, 0), step{answered: true, took: 253 * time.Millisecond})
+		is.Equal(observe(50*time.Millisecond, seq+200, ack+500, 0), step{answered: true, advanced: true, took: 253 * time.Millisecond})
 		is.Equal(observe(time.Millisecond, seq+200, ack+400, 0), step{}) // overtaken
 	}
 	is.Equal(observe(time.Second, 600, 1500, 10), step{requested: true})
-	is.Equal(observe(time.Second, 610, 1600, 10), step{answered: true, took: time.Second, requested: true})
+	is.Equal(observe(time.Second, 610, 1600, 10), step{answered: true, advanced: true, took: time.Second, requested: true})
 }
 
 // Guards against further requests of an open flow that do not count as load on its server.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -77,6 +77,8 @@
 	table    *exchange.PeerTable
 	exchange *exchange.Exchange
 	evidence *evidence.Pool
+	// silences is nil unless flows of servers that are gone are reset.
+	silences *evidence.Silences
 	pauses   *pause.Monitor
 	leaving  atomic.Bool
 	killed   chan struct{}
@@ -95,8 +97,11 @@
 		Keep:     directory.RetentionFor(o.Settings.DrainTime, o.Settings.FlowLifetime),
 		Prefetch: func(ctx context.Context) bool { return d.exchange.Prefetch(ctx) },
 	})
+	if o.Settings.ResetGoneFlows {
+		d.silences = d.newSilences()
+	}
 	d.engine = cookie.NewEngine(cookie.Options{
-		Codec: o.Codec, Directories: d.follower, Placer: d.placer, FlowLifetime: o.Settings.FlowLifetime, Metrics: o.Metrics, Log: o.Log,
+		Codec: o.Codec, Directories: d.follower, Placer: d.placer, FlowLifetime: o.Settings.FlowLifetime, Silences: d.silences, Metrics: o.Metrics, Log: o.Log,
 	})
 	d.table = exchange.NewPeerTable(exchange.PeerTableOptions{
 		Self: o.Settings.Peer.Addr(), Zone: o.Settings.Zone, Seeds: addrs(o.Settings.Seeds), MaxAge: watch.MaxAge(),
@@ -104,7 +109,7 @@
 			return d.follower.Position(), d.follower.Age(now)
 		},
 	})
-	d.evidence = evidence.NewPool()
+	d.evidence = d.newEvidence()
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -155,6 +160,7 @@
 	tasks.Go(func() { d.newRegistration().Run(serving) })
 	tasks.Go(func() { d.forward(serving) })
 	tasks.Go(func() { d.expireLoop(serving) })
+	tasks.Go(func() { d.probeLoop(serving) })
 	tasks.Go(func() { d.reload(serving, reload) })
 	server := &http.Server{Handler: d.readinessHandler(), ReadTimeout: readyTimeout, WriteTimeout: readyTimeout}
 	tasks.Go(func() {
@@ -311,7 +317,9 @@
 	for wait.For(ctx, expireInterval) {
 		now := time.Now()
 		d.pauses.Tick(now)
-		d.engine.Expire(now)
+		for _, reset := range d.engine.Expire(now) {
+			d.send(reset)
+		}
 		d.placer.ExpirePeers(now)
 	}
 }
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -21,8 +21,10 @@
 	DirectoryAgeMS int64 `json:"directory_age_ms"`
 	Servers        int   `json:"servers"`
 	Flows          int   `json:"flows"`
-	PeersKnown     int   `json:"peers_known"`
-	PeersLive      int   `json:"peers_live"`
+	// ServersGone is the number of servers whose open flows are reset.
+	ServersGone int `json:"servers_gone"`
+	PeersKnown  int `json:"peers_known"`
+	PeersLive   int `json:"peers_live"`
 }
 
 // Status returns the daemon's Status as JSON.
@@ -38,6 +40,9 @@
 		s.ConfigVersion, s.Servers = dir.Config.Version, dir.ServerCount()
 		s.DirectoryAgeMS = d.follower.Age(now).Milliseconds()
 	}
+	if d.silences != nil {
+		s.ServersGone = d.silences.GoneCount()
+	}
 	s.PeersKnown, s.PeersLive = d.table.PeerCounts(now)
 	return json.Marshal(s)
 }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -81,6 +81,11 @@
 	ZoneUnreachable = Event{Number: 435, Level: warnLevel, Message: "zone is not reachable", Action: "check the network between the zones"}
 	ZoneReachable   = Event{Number: 436, Level: infoLevel, Message: "zone is reachable again", Action: "none"}
 	CookieCorrected = Event{Number: 437, Level: infoLevel, Message: "second server that accepted a flow was told the cookie of the flow's server", Action: "none", PerSecond: flowLinesPerSecond}
+
+	ServerGone      = Event{Number: 450, Level: warnLevel, Message: "server counts as gone", Action: "none; if the server lives, see the field reason", PerSecond: serverLinesPerSecond}
+	ServerBack      = Event{Number: 451, Level: warnLevel, Message: "server no longer counts as gone", Action: "find out why the server was silent", PerSecond: serverLinesPerSecond}
+	FlowReset       = Event{Number: 452, Level: infoLevel, Message: "open flow of a server that is gone was reset", Action: "none", PerSecond: flowLinesPerSecond}
+	VerdictWithheld = Event{Number: 453, Level: warnLevel, Message: "too many servers of a pool are silent to judge one of them", Action: "check the network to the pool", PerSecond: serverLinesPerSecond}
 )
 
 // All returns every event, ordered by number.
@@ -93,5 +98,6 @@
 		DirectoryApplied, ItemRefused, StoreWatchChanged, RegistrationFailed, DirectoryFromPeer, StoreListed, StoreRestored,
 		ServerEjected, ServerReinstated, EjectionRefused, SilentFlow, FlowTableFull, NewFlowLimited, BackupChanged,
 		FlowPlaced, FlowRefused, FlowUnanswered, ServerSuspected, ServerRecovered, ZoneUnreachable, ZoneReachable, CookieCorrected,
+		ServerGone, ServerBack, FlowReset, VerdictWithheld,
 	}
 }
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -33,6 +33,7 @@
 	NoCookie          Reason = "no_cookie"
 	UnknownCookie     Reason = "unknown_cookie"
 	StalePacket       Reason = "stale_packet"
+	ServerGone        Reason = "server_gone"
 )
 
 var refusalReasons = []Reason{
@@ -41,7 +42,7 @@
 	FlowTableFull, NewFlowRate, NoStanding, NoOwner, NoTables, ResetUnconfirmed,
 	ICMPUnknownFlow, StaleTables, PeerNotMember, PeerRefused, LinkQueueFull, ExceptionBudget,
 	ExceptionStale, TablesRegressed, StoreBudget, SendFailed,
-	SilentFlow, NoCookie, UnknownCookie, StalePacket,
+	SilentFlow, NoCookie, UnknownCookie, StalePacket, ServerGone,
 }
 
 // Reasons for retrying a call.
@@ -90,6 +91,9 @@
 	FlowsMoved           Reason = "flows_moved"
 	CookiesCorrected     Reason = "cookies_corrected"
 	RequestsRepeated     Reason = "requests_repeated"
+	FlowsReset           Reason = "flows_reset"
+	ServersGone          Reason = "servers_gone"
+	ServerProbes         Reason = "server_probes"
 )
 
 var totalNames = []Reason{
@@ -98,6 +102,7 @@
 	ExceptionsSent, ExceptionsStored, ExceptionsHandover, TablesApplied,
 	StoreCalls, ControlBytesSent, ControlBytesReceived, MembersDied,
 	ProbesSent, FlowsUnanswered, ServersSuspected, FlowsMoved, CookiesCorrected, RequestsRepeated,
+	FlowsReset, ServersGone, ServerProbes,
 }
 
 // Names of the latency histograms.
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -44,6 +44,8 @@
 	DrainTime, ConfigTime time.Duration
 	// FlowLifetime is the maximum lifetime of a flow.
 	FlowLifetime time.Duration
+	// ResetGoneFlows is set if open flows whose server is gone are reset.
+	ResetGoneFlows bool
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
@@ -132,6 +134,9 @@
 	{Section: "limits", Name: "flow_life_s", Default: "60",
 		Meaning: "maximum lifetime of a flow in seconds; packets of existing flows reach a removed server for this long",
 		set:     func(s *draft, v string) string { return setUnits(&s.entry.FlowLifetime, v, time.Second, maxLifetime) }},
+	{Section: "limits", Name: "reset_gone_flows", Default: "no",
+		Meaning: "yes or no: whether callers with several requests on a flow get a reset when the flow's server is gone",
+		set:     func(s *draft, v string) string { return setYesNo(&s.entry.ResetGoneFlows, v) }},
 
 	{Section: "log", Name: "level", Default: "info",
 		Meaning: "lowest level that is logged: debug, info, warn or error",
@@ -184,6 +189,7 @@
 	addIf("limits.recovery_ms", e.RecoveryTime != next.RecoveryTime)
 	addIf("limits.drain_ms", e.DrainTime != next.DrainTime)
 	addIf("limits.config_ms", e.ConfigTime != next.ConfigTime)
+	addIf("limits.reset_gone_flows", e.ResetGoneFlows != next.ResetGoneFlows)
 	addIf("limits.flow_life_s", e.FlowLifetime != next.FlowLifetime)
 	return changed
 }
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -117,3 +117,13 @@
 	*dst = list
 	return ""
 }
+
+// setYesNo stores whether v is "yes" in *dst. If v is neither "yes" nor "no", it returns a
+// description of what was expected.
+func setYesNo(dst *bool, v string) string {
+	if v != "yes" && v != "no" {
+		return "yes or no"
+	}
+	*dst = v == "yes"
+	return ""
+}
