Take a caller that gives up for no proof of life

Change: only a new acknowledgement proves that the server lives. Result: the new test fails without the change.

--- a/internal/cookie/gone.go
+++ b/internal/cookie/gone.go
@@ -36,7 +36,7 @@
 	}
 	switch {
 	case e.silences == nil:
-	case s.answered:
+	case s.answered && s.advanced: // a caller that gives up also ends its request
 		e.silences.Answered(f.server, now.Add(-s.took), now)
 	case s.advanced:
 		e.silences.Answered(f.server, time.Time{}, now)
--- a/internal/cookie/gone_test.go
+++ b/internal/cookie/gone_test.go
@@ -153,6 +153,23 @@
 	h.is.Equal(h.engine.FlowCount(), 0)
 }
 
+// Guards against a caller that gives up and is taken for one that got its answer: its last
+// packet is no proof that the server lives.
+func TestCallerThatGivesUpProvesNothing(t *testing.T) {
+	h, silences := newGoneHarness(t)
+	c := h.longFlow()
+	other := *h.directories.current.ByCookie(3 - c)
+	h.now = h.now.Add(time.Second)
+	h.send(Packet{Cookie: c, Seq: 20, Ack: 2, PayloadLen: 10})
+	silences.Answered(&other, h.now, h.now)
+	h.now = h.now.Add(200 * time.Millisecond)
+	h.send(Packet{Cookie: c, Seq: 20, Ack: 2, PayloadLen: 10})
+	h.send(Packet{Cookie: c, Seq: 30, Ack: 2, Ends: true})
+	var r evidence.Report
+	silences.AddTo(&r, true, h.now)
+	h.is.Equal(len(r.Silences), 1)
+}
+
 // Guards against repeated requests that nobody hears of, and against ones that count although
 // nothing shows that this daemon reaches the server's zone.
 func TestRepeatedRequestsAreEvidence(t *testing.T) {
