Merge the resets of flows whose server is gone

Cause: a server that ends silently left its long flows pinned to its cookie, and each caller's next request went nowhere until its deadline.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -143,6 +143,7 @@
 	// evacuatedPools holds the pools with registered servers in evacuated zones that would
 	// take new flows otherwise.
 	evacuatedPools map[string]bool
+	derived        derived
 }
 
 // VM is the registration of a daemon.
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -21,8 +21,10 @@
 	DirectoryAgeMS int64 `json:"directory_age_ms"`
 	Servers        int   `json:"servers"`
 	Flows          int   `json:"flows"`
-	PeersKnown     int   `json:"peers_known"`
-	PeersLive      int   `json:"peers_live"`
+	// ServersGone is the number of servers whose open flows are reset.
+	ServersGone int `json:"servers_gone"`
+	PeersKnown  int `json:"peers_known"`
+	PeersLive   int `json:"peers_live"`
 	// Evacuations lists the evacuated availability zones.
 	Evacuations []Evacuation `json:"evacuations"`
 	// PacedServers are the ids of servers that have started or recovered and get only
@@ -64,6 +66,9 @@
 		}
 	}
 	s.PacedServers = d.placer.PacedServers(now)
+	if d.silences != nil {
+		s.ServersGone = d.silences.GoneCount()
+	}
 	s.PeersKnown, s.PeersLive = d.table.PeerCounts(now)
 	return json.Marshal(s)
 }
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -36,6 +36,7 @@
 	PoolEvacuated     Reason = "pool_evacuated"
 	EvacuatedCopy     Reason = "evacuated_copy"
 	ColdLimit         Reason = "cold_limit"
+	ServerGone        Reason = "server_gone"
 )
 
 var refusalReasons = []Reason{
@@ -44,7 +45,7 @@
 	FlowTableFull, NewFlowRate, NoStanding, NoOwner, NoTables, ResetUnconfirmed,
 	ICMPUnknownFlow, StaleTables, PeerNotMember, PeerRefused, LinkQueueFull, ExceptionBudget,
 	ExceptionStale, TablesRegressed, StoreBudget, SendFailed,
-	SilentFlow, NoCookie, UnknownCookie, StalePacket, PoolEvacuated, EvacuatedCopy, ColdLimit,
+	SilentFlow, NoCookie, UnknownCookie, StalePacket, PoolEvacuated, EvacuatedCopy, ColdLimit, ServerGone,
 }
 
 // Reasons for retrying a call.
@@ -95,6 +96,9 @@
 	RequestsRepeated     Reason = "requests_repeated"
 	PacesStarted         Reason = "paces_started"
 	PacesEnded           Reason = "paces_ended"
+	FlowsReset           Reason = "flows_reset"
+	ServersGone          Reason = "servers_gone"
+	ServerProbes         Reason = "server_probes"
 )
 
 var totalNames = []Reason{
@@ -103,7 +107,7 @@
 	ExceptionsSent, ExceptionsStored, ExceptionsHandover, TablesApplied,
 	StoreCalls, ControlBytesSent, ControlBytesReceived, MembersDied,
 	ProbesSent, FlowsUnanswered, ServersSuspected, FlowsMoved, CookiesCorrected, RequestsRepeated,
-	PacesStarted, PacesEnded,
+	PacesStarted, PacesEnded, FlowsReset, ServersGone, ServerProbes,
 }
 
 // Names of the latency histograms.
