--- a/internal/evidence/silence.go
+++ b/internal/evidence/silence.go
@@ -110,12 +110,13 @@
 	probedAt   time.Time // when the last probe was sent
 	statedAt   time.Time // when the result of the last probe came in
 	acceptedAt time.Time // when a probe succeeded last
-	others     map[DaemonID]Statement
-	doubtedAt  time.Time
-	doubtUntil time.Time
-	// sent counts how often a statement or a proof of life was reported.
-	sent      map[DaemonID]int
-	sentHeard int
+	// others are the statements of other daemons, and sent counts how often each statement was
+	// reported. Both are nil before the first doubt.
+	others map[DaemonID]Statement
+	sent   map[DaemonID]int
+	// sentHeard counts how often the last proof of life was reported.
+	sentHeard             int
+	doubtedAt, doubtUntil time.Time
 
 	verdict  Reason
 	judgedAt time.Time
@@ -134,7 +135,7 @@
 func (s *Silences) suspect(c directory.Cookie) *suspect {
 	x := s.servers[c]
 	if x == nil {
-		x = &suspect{period: 1, others: map[DaemonID]Statement{}, sent: map[DaemonID]int{}}
+		x = &suspect{period: 1}
 		s.servers[c] = x
 	}
 	return x
@@ -202,6 +203,9 @@
 
 // doubt records that there is evidence against the server.
 func (x *suspect) doubt(now time.Time) {
+	if x.others == nil {
+		x.others, x.sent = map[DaemonID]Statement{}, map[DaemonID]int{}
+	}
 	if now.After(x.doubtUntil) {
 		x.doubtedAt = now
 	}
@@ -343,8 +347,8 @@
 			delete(x.sent, row.Witness)
 			s.options.OnNews()
 		}
-		x.others[row.Witness] = st
 		x.doubt(sentAt)
+		x.others[row.Witness] = st
 	}
 }
 
