--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -99,8 +99,9 @@
 	// daemonsSince is when daemons last changed; zero before the first directory.
 	daemonsSince time.Time
 	servers      map[directory.Cookie]*server
-	// paced is the number of servers in a period.
-	paced int
+	// paced is the number of servers in a period, and endedAt when a period last ended.
+	paced   int
+	endedAt time.Time
 	// confirmedAt is when the directory was last confirmed to be the newest one, and gapAt
 	// when that had last not happened for the maximum age.
 	confirmedAt, gapAt time.Time
@@ -277,7 +278,7 @@
 }
 
 func (p *Pacer) finish(rec *server, reason string, now time.Time) {
-	rec.stage, rec.stageSince = finalStage, now
+	rec.stage, rec.stageSince, p.endedAt = finalStage, now, now
 	p.paced--
 	p.options.OnChange(Change{Server: rec.current.Cookie, Name: rec.current.Name, Reason: reason, Took: now.Sub(rec.periodSince)})
 }
@@ -421,6 +422,9 @@
 
 // Rows returns the rows for a report, those that have changed last first.
 func (p *Pacer) Rows(now time.Time) []evidence.Pace {
+	if p.paced == 0 && now.Sub(p.endedAt) >= announceTime {
+		return nil
+	}
 	type entry struct {
 		row   evidence.Pace
 		since time.Time
