Keep a verdict when an old change of a registration is read late

Change: only another start of the server, or a registration that is back after it had vanished, ends a verdict. Result: TestLateChangeOfARegistrationProvesNothing fails without the change.

--- a/internal/evidence/judge.go
+++ b/internal/evidence/judge.go
@@ -75,9 +75,12 @@
 	}
 	for c, server := range suspects {
 		x := s.suspect(c)
-		if !server.Vanished() {
-			x.heard(server.ReadAt) // it has registered since
+		// Another change of a registration may have been written long before it was read.
+		registeredAgain := x.verdict == RegistrationGone && !server.Vanished()
+		if registeredAgain || server.Started != x.started && x.started != 0 {
+			x.heard(now)
 		}
+		x.started = server.Started
 		v := s.judge(d, server, x, now)
 		if v.Reason == Silent && x.verdict == "" {
 			if float64(silent[server.Pool]+1) > maxSilentShare*float64(d.PoolSize(server.Pool)) {
--- a/internal/evidence/silence.go
+++ b/internal/evidence/silence.go
@@ -120,6 +120,8 @@
 
 	verdict  Reason
 	judgedAt time.Time
+	// started identifies the process that was judged last.
+	started int64
 	// withheld is set while maxSilentShare prevents a verdict.
 	withheld bool
 }
--- a/internal/evidence/silence_test.go
+++ b/internal/evidence/silence_test.go
@@ -97,7 +97,7 @@
 	b := directory.NewBuilder()
 	changes := []directory.Change{{Config: &directory.Config{}}}
 	for i := range servers {
-		changes = append(changes, directory.Change{Server: &directory.Server{Name: fmt.Sprint(i), Cookie: directory.Cookie(i + 1), Pool: "p", Zone: "a"}})
+		changes = append(changes, directory.Change{Server: &directory.Server{Name: fmt.Sprint(i), Cookie: directory.Cookie(i + 1), Pool: "p", Zone: "a", Started: 1}})
 	}
 	b.Apply(changes, directory.Position{}, epoch)
 	o.directory = b.Build()
@@ -109,6 +109,20 @@
 	return o
 }
 
+// change changes the registration of the server with cookie 1.
+func (o *observer) change(fn func(s *directory.Server)) {
+	s := *o.directory.ByCookie(1)
+	s.ReadAt = o.now
+	fn(&s)
+	b := directory.NewBuilder()
+	changes := []directory.Change{{Config: &directory.Config{}}, {Server: &s}}
+	for c := directory.Cookie(2); o.directory.ByCookie(c) != nil; c++ {
+		changes = append(changes, directory.Change{Server: o.directory.ByCookie(c)})
+	}
+	b.Apply(changes, directory.Position{}, epoch)
+	o.directory = b.Build()
+}
+
 // claim records a peer's report that a server is silent, with two invented witnesses.
 func (o *observer) claim(c directory.Cookie, silentFor time.Duration) {
 	var r Report
@@ -144,9 +158,10 @@
 		"a peer has heard of it": func(o *observer) {
 			o.Record(Peer{}, Report{Heard: []Heard{{Server: 1, Age: 10 * time.Millisecond}}}, o.now)
 		},
-		"an answer":             func(o *observer) { o.Answered(o.directory.ByCookie(1), time.Time{}, o.now) },
-		"time":                  func(o *observer) { o.now = o.now.Add(verdictTTL) },
-		"a pause of the daemon": func(o *observer) { o.pausedAt = o.now },
+		"an answer":                  func(o *observer) { o.Answered(o.directory.ByCookie(1), time.Time{}, o.now) },
+		"a new process under its id": func(o *observer) { o.change(func(s *directory.Server) { s.Started++ }) },
+		"time":                       func(o *observer) { o.now = o.now.Add(verdictTTL) },
+		"a pause of the daemon":      func(o *observer) { o.pausedAt = o.now },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -167,6 +182,22 @@
 	}
 }
 
+// Guards against a verdict that ends because a slow store delivers what the server wrote
+// before it ended.
+func TestLateChangeOfARegistrationProvesNothing(t *testing.T) {
+	is := is.New(t)
+	o := newObserver(3)
+	for range 10 {
+		o.now = o.now.Add(100 * time.Millisecond)
+		o.claim(1, 500*time.Millisecond+o.now.Sub(epoch))
+		o.Judge(o.now)
+	}
+	o.now = o.now.Add(time.Second)
+	o.change(func(s *directory.Server) { s.Revision++ })
+	is.Equal(len(o.Judge(o.now)), 0)
+	is.Equal(o.Gone(1), Silent)
+}
+
 // Guards against daemons that keep an old statement alive by telling it to each other, since
 // each message makes it appear a little later.
 func TestCopiesOfAStatementAreNotDatedAnew(t *testing.T) {
