Place few flows on servers that fail requests

A server that fails part of its requests at once looked like the fastest one: its request had ended, so it seemed free and its slowness fell.

The engine now takes the length of each answer from the caller's acknowledgements and compares it with what is usual for the route. Daemons of a zone pool how the requests on a server ended, as decaying sums; a server that fails far more than its pool gets only trial flows. A failed request counts as in progress for its usual time and leaves the averages as they are.

--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -10,6 +10,7 @@
 
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/events"
+	"knapweedshore.example/internal/evidence"
 	"knapweedshore.example/internal/metrics"
 	"knapweedshore.example/internal/placement"
 )
@@ -34,6 +35,8 @@
 	codec       Codec
 	directories DirectorySource
 	placer      *placement.Placer
+	outcomes    *evidence.OutcomeTally
+	norms       *evidence.AnswerNorms
 	metrics     *metrics.Registry
 	log         *events.Logger
 	// flowLifetime is the maximum lifetime of a flow.
@@ -50,6 +53,10 @@
 	Codec       Codec
 	Directories DirectorySource
 	Placer      *placement.Placer
+	// Outcomes and Norms get the results of requests and the lengths of answers; nil for
+	// ones of the engine's own.
+	Outcomes *evidence.OutcomeTally
+	Norms    *evidence.AnswerNorms
 	// FlowLifetime is the maximum lifetime of a flow.
 	FlowLifetime time.Duration
 	Metrics      *metrics.Registry
@@ -58,8 +65,14 @@
 
 // NewEngine returns an Engine without flows.
 func NewEngine(o Options) *Engine {
+	if o.Outcomes == nil {
+		o.Outcomes = evidence.NewOutcomeTally("")
+	}
+	if o.Norms == nil {
+		o.Norms = evidence.NewAnswerNorms()
+	}
 	return &Engine{
-		codec: o.Codec, directories: o.Directories, placer: o.Placer, flowLifetime: o.FlowLifetime, metrics: o.Metrics, log: o.Log,
+		codec: o.Codec, directories: o.Directories, placer: o.Placer, outcomes: o.Outcomes, norms: o.Norms, flowLifetime: o.FlowLifetime, metrics: o.Metrics, log: o.Log,
 		flows: map[flowKey]*flow{},
 	}
 }
@@ -154,7 +167,7 @@
 	key := flowKey{p.Caller, p.Service}
 	f := e.flows[key]
 	if f != nil && f.isReusedBy(p, now) {
-		e.forget(key, f)
+		e.forget(key, f, now)
 		f = nil
 	}
 	if f != nil && f.established {
@@ -185,6 +198,9 @@
 		return nil, &refusal{metrics.NoUsableServer, !now.Before(d.SettledAt)}
 	}
 	e.metrics.Count(metrics.FlowsOpened, 1)
+	if ticket.Trial() {
+		e.metrics.Count(metrics.TrialFlows, 1)
+	}
 	if avoid != 0 && avoid != server.Cookie {
 		e.metrics.Count(metrics.FlowsMoved, 1)
 	}
@@ -239,6 +255,7 @@
 		e.establish(d, f, p, now)
 	}
 	e.trackRequest(f, p, now)
+	e.trackAnswer(f, p, now)
 	return f.server, e.correctAlternates(d, f, p, now), nil
 }
 
@@ -325,6 +342,15 @@
 		f.requested, f.requestAck, f.requestedAt = true, p.Ack, now
 		e.placer.MarkRequestSent(f.ticket, now)
 	case f.requested && (p.Ack != f.requestAck || p.Ends):
+		switch length := int(int32(p.Ack - f.requestAck)); {
+		case length <= closeLength:
+			e.abandonRequest(f)
+			return
+		case length < e.norms.ShortLength(f.route.Name):
+			e.placer.Fail(f.ticket, now)
+			f.ticket = nil
+			return
+		}
 		e.metrics.Observe(metrics.RequestAnswered, now.Sub(f.requestedAt))
 		e.placer.Done(f.ticket, now)
 		f.ticket = nil
@@ -336,6 +362,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for key, f := range e.flows {
+		e.checkAnswer(f, now)
 		overdue := f.isAnswerOverdue(now)
 		if overdue {
 			e.abandonRequest(f)
@@ -345,14 +372,16 @@
 				zap.Duration("silent_for", now.Sub(f.lastSeen)))
 		}
 		if overdue && !f.contested || f.ticket == nil && f.expired(now, e.flowLifetime) {
+			e.dropAnswer(f, now)
 			delete(e.flows, key)
 		}
 	}
 }
 
 // forget deletes the record of a flow.
-func (e *Engine) forget(key flowKey, f *flow) {
+func (e *Engine) forget(key flowKey, f *flow, now time.Time) {
 	e.abandonRequest(f)
+	e.dropAnswer(f, now)
 	delete(e.flows, key)
 }
 
--- a/internal/cookie/flows.go
+++ b/internal/cookie/flows.go
@@ -36,6 +36,8 @@
 	requestAck                      uint32
 	requested                       bool
 	openedAt, requestedAt, lastSeen time.Time
+	// answer is the answer to the request in progress.
+	answer answer
 	// placedAt is when the opening packet was forwarded to the current server.
 	placedAt time.Time
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -77,6 +77,8 @@
 	table    *exchange.PeerTable
 	exchange *exchange.Exchange
 	evidence *evidence.Pool
+	outcomes *evidence.OutcomeTally
+	norms    *evidence.AnswerNorms
 	pauses   *pause.Monitor
 	leaving  atomic.Bool
 	killed   chan struct{}
@@ -89,14 +91,18 @@
 // New creates a daemon and opens its sockets. Call Run or Close next.
 func New(o Options) (*Daemon, error) {
 	watch := registry.WatchTimesFor(o.Settings.RecoveryTime, o.Settings.ReactionTime())
-	d := &Daemon{options: o, killed: make(chan struct{}), pauses: pause.NewMonitor(time.Now(), staleAfter), placer: placement.New(o.Settings.Zone, rand.Uint64())}
+	d := &Daemon{
+		options: o, killed: make(chan struct{}), pauses: pause.NewMonitor(time.Now(), staleAfter), placer: placement.New(o.Settings.Zone, rand.Uint64()),
+		outcomes: evidence.NewOutcomeTally(o.Settings.Zone), norms: evidence.NewAnswerNorms(),
+	}
 	d.follower = registry.NewFollower(registry.Options{
 		Source: o.Source, Decoder: o.Decoder, Log: o.Log, Metrics: o.Metrics, Watch: watch, Pauses: d.pauses,
 		Keep:     directory.RetentionFor(o.Settings.DrainTime, o.Settings.FlowLifetime),
 		Prefetch: func(ctx context.Context) bool { return d.exchange.Prefetch(ctx) },
 	})
 	d.engine = cookie.NewEngine(cookie.Options{
-		Codec: o.Codec, Directories: d.follower, Placer: d.placer, FlowLifetime: o.Settings.FlowLifetime, Metrics: o.Metrics, Log: o.Log,
+		Codec: o.Codec, Directories: d.follower, Placer: d.placer, Outcomes: d.outcomes, Norms: d.norms,
+		FlowLifetime: o.Settings.FlowLifetime, Metrics: o.Metrics, Log: o.Log,
 	})
 	d.table = exchange.NewPeerTable(exchange.PeerTableOptions{
 		Self: o.Settings.Peer.Addr(), Zone: o.Settings.Zone, Seeds: addrs(o.Settings.Seeds), MaxAge: watch.MaxAge(),
@@ -104,14 +110,17 @@
 			return d.follower.Position(), d.follower.Age(now)
 		},
 	})
-	d.evidence = evidence.NewPool()
+	d.evidence = evidence.NewPool(d.outcomes)
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
 	d.follower.OnChange(d.placer.Prune)
+	d.follower.OnChange(d.norms.Prune)
 	d.follower.OnChange(d.exchange.Apply)
 	d.placer.OnChange(d.exchange.ReportLoad)
 	d.placer.OnAvoidanceChange(d.logAvoidanceChange)
+	d.placer.SetOutcomes(d.outcomes)
+	d.placer.OnOutlierChange(d.logOutlierChange)
 	d.placer.SetUnreachableFunc(d.table.ZoneSilent)
 	return d, nil
 }
@@ -313,5 +322,6 @@
 		d.pauses.Tick(now)
 		d.engine.Expire(now)
 		d.placer.ExpirePeers(now)
+		d.outcomes.Expire(now)
 	}
 }
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -23,6 +23,8 @@
 	Flows          int   `json:"flows"`
 	PeersKnown     int   `json:"peers_known"`
 	PeersLive      int   `json:"peers_live"`
+	// FailingServers are the servers that fail far more requests than their pools.
+	FailingServers []string `json:"failing_servers,omitempty"`
 }
 
 // Status returns the daemon's Status as JSON.
@@ -38,6 +40,9 @@
 		s.ConfigVersion, s.Servers = dir.Config.Version, dir.ServerCount()
 		s.DirectoryAgeMS = d.follower.Age(now).Milliseconds()
 	}
+	for _, c := range d.placer.Failing() {
+		s.FailingServers = append(s.FailingServers, d.serverName(c))
+	}
 	s.PeersKnown, s.PeersLive = d.table.PeerCounts(now)
 	return json.Marshal(s)
 }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -81,6 +81,8 @@
 	ZoneUnreachable = Event{Number: 435, Level: warnLevel, Message: "zone is not reachable", Action: "check the network between the zones"}
 	ZoneReachable   = Event{Number: 436, Level: infoLevel, Message: "zone is reachable again", Action: "none"}
 	CookieCorrected = Event{Number: 437, Level: infoLevel, Message: "second server that accepted a flow was told the cookie of the flow's server", Action: "none", PerSecond: flowLinesPerSecond}
+	ServerFails     = Event{Number: 460, Level: warnLevel, Message: "server fails requests while it accepts flows", Action: "check the server", PerSecond: serverLinesPerSecond}
+	ServerServes    = Event{Number: 461, Level: infoLevel, Message: "server takes its usual flows again after failures", Action: "none", PerSecond: serverLinesPerSecond}
 )
 
 // All returns every event, ordered by number.
@@ -93,5 +95,6 @@
 		DirectoryApplied, ItemRefused, StoreWatchChanged, RegistrationFailed, DirectoryFromPeer, StoreListed, StoreRestored,
 		ServerEjected, ServerReinstated, EjectionRefused, SilentFlow, FlowTableFull, NewFlowLimited, BackupChanged,
 		FlowPlaced, FlowRefused, FlowUnanswered, ServerSuspected, ServerRecovered, ZoneUnreachable, ZoneReachable, CookieCorrected,
+		ServerFails, ServerServes,
 	}
 }
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -89,6 +89,9 @@
 	ServersSuspected     Reason = "servers_suspected"
 	FlowsMoved           Reason = "flows_moved"
 	CookiesCorrected     Reason = "cookies_corrected"
+	RequestsFailed       Reason = "requests_failed"
+	ServersFailing       Reason = "servers_failing"
+	TrialFlows           Reason = "trial_flows"
 )
 
 var totalNames = []Reason{
@@ -97,6 +100,7 @@
 	ExceptionsSent, ExceptionsStored, ExceptionsHandover, TablesApplied,
 	StoreCalls, ControlBytesSent, ControlBytesReceived, MembersDied,
 	ProbesSent, FlowsUnanswered, ServersSuspected, FlowsMoved, CookiesCorrected,
+	RequestsFailed, ServersFailing, TrialFlows,
 }
 
 // Names of the latency histograms.
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -28,6 +28,9 @@
 	// One server in five is five times slower from slowFrom until slowUntil, and
 	// stops answering at deadFrom unless that is zero.
 	slowFrom, slowUntil, deadFrom time.Duration
+	// failShare returns the part of the requests through a daemon that a server fails at
+	// once at a time; nil if no server fails any.
+	failShare func(server, daemon int, now time.Duration) float64
 	// duration is the simulated time.
 	duration time.Duration
 }
@@ -41,10 +44,21 @@
 	reportInterval = 20 * time.Millisecond
 )
 
+const (
+	// failureTime is how long a server takes to fail a request.
+	failureTime = 2 * time.Millisecond
+	// maxRetries is how often callers repeat a request that a server has failed.
+	maxRetries = 2
+)
+
+// idempotent reports whether callers may repeat the request with a key. One in five must
+// not be repeated.
+func idempotent(key uint64) bool { return key%5 != 0 }
+
 // policy chooses servers for one daemon of the model. The caller of choose calls
 // either done when the response has arrived, or drop when there is none.
 type policy interface {
-	choose(key uint64, now time.Time) (server int, done func(now time.Time), drop func())
+	choose(key uint64, now time.Time) (server int, done func(now time.Time, failed bool), drop func())
 	report(all []policy, self int, now time.Time)
 }
 
@@ -55,12 +69,13 @@
 }
 
 // outcome counts the requests that were answered within the target, answered
-// later, or lost.
-type outcome struct{ inTarget, late, lost int }
+// later, lost, or failed by their server.
+type outcome struct{ inTarget, late, lost, failed int }
 
-func (o outcome) lateShare() float64 {
-	return float64(o.late+o.lost) / float64(o.inTarget+o.late+o.lost)
-}
+func (o outcome) total() int { return o.inTarget + o.late + o.lost + o.failed }
+
+func (o outcome) lateShare() float64   { return float64(o.late+o.lost) / float64(o.total()) }
+func (o outcome) failedShare() float64 { return float64(o.failed) / float64(o.total()) }
 
 // event is an action at a simulated time.
 type event struct {
@@ -87,7 +102,7 @@
 // run simulates the model with one policy per daemon. Runs with the same seed
 // have the same requests.
 func (m model) run(seed uint64, policies []policy) outcome {
-	random := rand.New(rand.NewPCG(seed, 1))
+	random, failures := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
 	servers := make([]modelServer, m.servers)
 	for i := range servers {
 		servers[i].speed = m.speeds[i%len(m.speeds)]
@@ -107,7 +122,11 @@
 	arrive = func(now time.Duration) {
 		schedule(now+time.Duration(random.ExpFloat64()/m.requestsPerSecond*float64(time.Second)), arrive)
 		serviceTime := time.Duration(float64(m.serviceTime) * math.Exp(0.5*random.NormFloat64()-0.125))
-		m.request(&out, policies[random.IntN(m.daemons)], servers, random.Uint64(), serviceTime, now, schedule)
+		d := random.IntN(m.daemons)
+		fails := func(server int, now time.Duration) bool {
+			return m.failShare != nil && failures.Float64() < m.failShare(server, d, now)
+		}
+		m.request(&out, policies[d], servers, random.Uint64(), serviceTime, now, fails, maxRetries, schedule)
 	}
 	schedule(0, arrive)
 	for queue.Len() > 0 && queue[0].at < m.duration {
@@ -118,8 +137,21 @@
 }
 
 // request simulates one request from the choice of a server to its response.
-func (m model) request(out *outcome, p policy, servers []modelServer, key uint64, serviceTime, now time.Duration, schedule func(time.Duration, func(time.Duration))) {
+func (m model) request(out *outcome, p policy, servers []modelServer, key uint64, serviceTime, now time.Duration, fails func(server int, now time.Duration) bool, retries int, schedule func(time.Duration, func(time.Duration))) {
 	i, done, drop := p.choose(key, epoch.Add(now))
+	if fails(i, now) {
+		repeated := idempotent(key) && retries > 0
+		if !repeated {
+			out.failed++
+		}
+		schedule(now+failureTime, func(now time.Duration) {
+			done(epoch.Add(now), true)
+			if repeated {
+				m.request(out, p, servers, key, serviceTime, now, fails, retries-1, schedule)
+			}
+		})
+		return
+	}
 	s := &servers[i]
 	speed := s.speed
 	if i%5 == 0 && now >= m.slowFrom && now < m.slowUntil {
@@ -147,7 +179,7 @@
 	} else {
 		out.late++
 	}
-	schedule(end, func(now time.Duration) { done(epoch.Add(now)) })
+	schedule(end, func(now time.Duration) { done(epoch.Add(now), false) })
 }
 
 // placerPolicy adapts a Placer to the policy interface.
@@ -160,12 +192,12 @@
 	candidatesAt func(now time.Time) []*directory.Server
 }
 
-func (p *placerPolicy) choose(_ uint64, now time.Time) (int, func(time.Time), func()) {
+func (p *placerPolicy) choose(_ uint64, now time.Time) (int, func(time.Time, bool), func()) {
 	if p.candidatesAt != nil {
 		p.candidates = p.candidatesAt(now)
 	}
 	s, ticket := p.placer.Choose(Request{Route: p.route, Candidates: p.candidates, Now: now})
-	return int(s.Number), func(end time.Time) {
+	return int(s.Number), func(end time.Time, _ bool) {
 		p.placer.MarkRequestSent(ticket, now)
 		p.placer.Done(ticket, end)
 	}, func() { p.placer.Abandon(ticket) }
@@ -204,15 +236,15 @@
 	pool   *tables.Pool
 }
 
-func (b *baselinePolicy) choose(key uint64, now time.Time) (int, func(time.Time), func()) {
+func (b *baselinePolicy) choose(key uint64, now time.Time) (int, func(time.Time, bool), func()) {
 	c, err := b.policy.Choose(selection.Request{Key: key, Pool: b.pool, Now: now})
 	if err != nil {
 		panic(err) // the pool always has a usable server
 	}
 	id := c.Server.ID
 	b.policy.Opened(id, now)
-	end := func(end time.Time) { b.policy.Closed(id, now, end) }
-	return int(id) - 1, end, func() { end(now) }
+	end := func(end time.Time, _ bool) { b.policy.Closed(id, now, end) }
+	return int(id) - 1, end, func() { end(now, false) }
 }
 
 func (b *baselinePolicy) report([]policy, int, time.Time) {}
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -72,6 +72,7 @@
 func (p *Placer) Load(now time.Time) Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeFailed(now)
 	l := Load{InProgress: map[directory.Cookie]int{}}
 	for c, rec := range p.servers {
 		if rec.inProgress > 0 {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -53,6 +53,10 @@
 	onChange          func()
 	onAvoidanceChange func(AvoidanceChange)
 	unreachable       func(zone string, now time.Time) bool
+
+	outliers *outliers
+	// failed are the failed requests that count as in progress.
+	failed []failedRequest
 }
 
 // serverState is the state of one backend server.
@@ -80,6 +84,7 @@
 		zone: zone, random: rand.New(rand.NewPCG(seed, 0)), servers: map[directory.Cookie]*serverState{}, zones: map[string]*suspicion{},
 		serviceTimes: map[string]time.Duration{}, peers: map[string]*peerLoad{}, unreachableZones: map[string]bool{},
 		onChange: func() {}, onAvoidanceChange: func(AvoidanceChange) {}, unreachable: func(string, time.Time) bool { return false },
+		outliers: newOutliers(),
 	}
 }
 
@@ -108,6 +113,8 @@
 func (p *Placer) Choose(r Request) (*directory.Server, *Ticket) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeFailed(r.Now)
+	p.outliers.judge(r.Candidates, r.Now)
 	var best *directory.Server
 	bestCost, ties := math.Inf(1), 0
 	e := estimator{placer: p, request: r, serviceTime: p.serviceTime(r.Route.Name).Seconds(), zoneCosts: map[string]float64{}}
@@ -126,7 +133,13 @@
 	if best == nil {
 		return nil, nil
 	}
-	return best, p.open(best, r, time.Duration(bestCost*float64(time.Second)))
+	trial := p.trialServer(r, &e)
+	if trial != nil {
+		best, bestCost = trial, e.cost(trial)
+	}
+	ticket := p.open(best, r, time.Duration(bestCost*float64(time.Second)))
+	ticket.trial = trial != nil
+	return best, ticket
 }
 
 // estimator estimates the costs of the candidates for one flow. What does not differ
@@ -151,7 +164,7 @@
 	if s.Cold(now) {
 		slowness = max(slowness, coldSlowness)
 	}
-	cost := slowness*queueFactor(rec, s)*e.serviceTime + e.zoneCost(s.Zone)
+	cost := slowness*queueFactor(rec, s)*e.serviceTime + e.zoneCost(s.Zone) + p.outliers.penalty(s, e.request.Route)
 	if p.serverAvoided(s.Cookie, rec, now) || s.Cookie == e.request.Avoid {
 		cost += suspicionPenalty.Seconds()
 	}
@@ -193,4 +206,5 @@
 			delete(p.servers, c)
 		}
 	}
+	p.outliers.prune(d)
 }
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"knapweedshore.example/internal/directory"
@@ -35,16 +36,22 @@
 	requestSentAt time.Time
 	// queueFactor is the result of queueFactor when the flow was placed.
 	queueFactor float64
-	// expected is the estimated time until the response.
-	expected time.Duration
-	answered bool
-	closed   bool
+	// expected is the estimated time until the response, and usual the time that the request
+	// takes once it has been sent.
+	expected, usual time.Duration
+	answered        bool
+	closed          bool
+	// trial is set if the flow tries whether a failing server has recovered.
+	trial bool
 }
 
 // ExpectedLatency returns the time until the response that was estimated when the
 // flow was placed.
 func (t *Ticket) ExpectedLatency() time.Duration { return t.expected }
 
+// Trial reports whether the flow tries whether a failing server has recovered.
+func (t *Ticket) Trial() bool { return t.trial }
+
 // Server returns the cookie of the flow's server.
 func (t *Ticket) Server() directory.Cookie { return t.server }
 
@@ -52,6 +59,7 @@
 func (p *Placer) open(s *directory.Server, r Request, expected time.Duration) *Ticket {
 	rec := p.state(s.Cookie)
 	t := &Ticket{server: s.Cookie, zone: s.Zone, route: r.Route.Name, queueFactor: queueFactor(rec, s), expected: expected}
+	t.usual = time.Duration(rec.slowness * t.queueFactor * float64(p.serviceTime(r.Route.Name)))
 	rec.inProgress++
 	rec.recordFlowOpened(r.Now)
 	if s.Zone != p.zone {
@@ -117,6 +125,37 @@
 	p.close(t)
 }
 
+// Fail closes the ticket of a flow whose request the server has failed. The request counts as
+// in progress for the time that it would have taken, since a server that fails at once would
+// otherwise seem to be free and draw flows, and it does not change the averages.
+func (p *Placer) Fail(t *Ticket, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	until := t.requestSentAt.Add(t.usual)
+	if t.closed || t.requestSentAt.IsZero() || !now.Before(until) {
+		p.close(t)
+		return
+	}
+	p.failed = append(p.failed, failedRequest{t, until})
+}
+
+// failedRequest is a request that its server has failed and that counts as in progress.
+type failedRequest struct {
+	ticket *Ticket
+	until  time.Time
+}
+
+// closeFailed closes the tickets of failed requests whose usual time is over.
+func (p *Placer) closeFailed(now time.Time) {
+	p.failed = slices.DeleteFunc(p.failed, func(f failedRequest) bool {
+		over := !now.Before(f.until)
+		if over {
+			p.close(f.ticket)
+		}
+		return over
+	})
+}
+
 func (p *Placer) close(t *Ticket) {
 	if t.closed {
 		return
