Do not count refusals of a busy server as failures

A server without room answers with a short response as well. With a queue as long as its slots it may be full, so such an answer tells nothing of it.

--- a/internal/cookie/answers.go
+++ b/internal/cookie/answers.go
@@ -28,6 +28,9 @@
 	requestedAt, beganAt, grewAt time.Time
 	// overdue is set while the request counts as failed until it is answered.
 	overdue bool
+	// busy is set if the server had a queue when the request came. It may refuse requests
+	// for lack of room then, which is no failure.
+	busy bool
 	// short is set if the last answer was short. A caller whose answers are always short
 	// counts once, since its flow stays with one server.
 	short bool
@@ -49,6 +52,7 @@
 	}
 	if !a.awaited && p.PayloadLen > 0 && !p.Aborts {
 		a.awaited, a.requestAck, a.acked, a.requestedAt = true, p.Ack, p.Ack, now
+		a.busy = e.placer.Busy(f.server)
 	}
 }
 
@@ -61,9 +65,9 @@
 		short = length < e.norms.ShortLength(f.route.Name)
 		e.norms.Learn(f.route.Name, length)
 		switch {
-		case short && !a.short:
-			e.recordResult(f, evidence.Failed, now)
+		case short && (a.short || a.busy):
 		case short:
+			e.recordResult(f, evidence.Failed, now)
 		case a.beganAt.Sub(a.requestedAt) > targetLatency(f.route):
 			e.recordResult(f, evidence.Late, now)
 		default:
--- a/internal/cookie/answers_test.go
+++ b/internal/cookie/answers_test.go
@@ -6,6 +6,7 @@
 
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/evidence"
+	"knapweedshore.example/internal/placement"
 )
 
 const (
@@ -86,6 +87,16 @@
 	}
 }
 
+// Guards against taking a server for failing that refuses requests because it is full.
+func TestRefusalsOfABusyServerAreNoFailures(t *testing.T) {
+	h := newHarness(t)
+	h.learnNorm()
+	h.engine.placer.SetPeerLoad("peer", placement.Load{InProgress: map[directory.Cookie]int{1: 9, 2: 9}}, h.now)
+	c := h.ask()
+	h.send(Packet{Cookie: c, Ack: 1000 + failLength, Ends: true})
+	h.is.Equal(h.sums(c), evidence.Sums{})
+}
+
 // Guards against a caller whose answers are short by nature and whose flow stays with one
 // server: it would condemn the server alone.
 func TestShortAnswersOfOneFlowCountOnce(t *testing.T) {
--- a/internal/placement/outliers.go
+++ b/internal/placement/outliers.go
@@ -398,6 +398,15 @@
 // must not call the Placer.
 func (p *Placer) OnOutlierChange(fn func(OutlierChange)) { p.outliers.onChange = fn }
 
+// Busy reports whether a server has more requests in progress than it works on at once, and
+// as many again waiting.
+func (p *Placer) Busy(s *directory.Server) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rec := p.servers[s.Cookie]
+	return rec != nil && rec.inProgress+rec.peerInProgress > 2*s.Slots
+}
+
 // Failing returns the servers that count as failing.
 func (p *Placer) Failing() []directory.Cookie {
 	p.mu.Lock()
