Count no peer for more failures than all others together

A daemon whose own network is broken, or that was frozen, sees all servers fail, and one failure of a second daemon was enough to confirm its claims.

--- a/internal/evidence/outcomes.go
+++ b/internal/evidence/outcomes.go
@@ -192,6 +192,7 @@
 	if w.Own.Failed > minSum {
 		w.Witnesses++
 	}
+	most := 0.0
 	for _, t := range o.peers[c] {
 		s := t.value(now)
 		w.Sums = w.add(s)
@@ -199,7 +200,11 @@
 		if s.Failed > minSum {
 			w.Witnesses++
 		}
+		most = max(most, s.Failed)
 	}
+	// No peer counts for more failures than all other daemons together: it may be wrong, or
+	// it has been frozen or cut off itself.
+	w.Failed = min(w.Failed, 2*(w.Failed-most))
 	return w
 }
 
--- a/internal/evidence/outcomes_test.go
+++ b/internal/evidence/outcomes_test.go
@@ -25,7 +25,7 @@
 	is := is.New(t)
 	older, newer := start, start.Add(time.Second)
 	a1, a2 := reportOf(Outcomes{Server: 1, Timely: 8, Failed: 8}), reportOf(Outcomes{Server: 1, Timely: 16, Failed: 16})
-	b := reportOf(Outcomes{Server: 1, Timely: 24})
+	b := reportOf(Outcomes{Server: 1, Timely: 24, Failed: 16})
 	forwards, backwards := NewOutcomeTally("a", nil), NewOutcomeTally("a", nil)
 	forwards.Record(peerA, a1, older)
 	forwards.Record(peerA, a2, newer)
@@ -34,7 +34,7 @@
 	backwards.Record(peerA, a2, newer)
 	backwards.Record(peerA, a2, newer)
 	backwards.Record(peerA, a1, older)
-	want := Witnessed{Sums: Sums{Timely: 5, Failed: 2}, Reporters: 3, Witnesses: 1}
+	want := Witnessed{Sums: Sums{Timely: 5, Failed: 4}, Reporters: 3, Witnesses: 2}
 	is.Equal(forwards.Witnessed(1, newer), want)
 	is.Equal(backwards.Witnessed(1, newer), want)
 	is.Equal(forwards.Daemons(newer), 3)
@@ -64,8 +64,9 @@
 	var r Report
 	o.AddTo(&r, true, start)
 	is.Equal(len(r.Outcomes), 0)
-	o.Record(peerA, reportOf(Outcomes{Server: 7, Failed: 8}, Outcomes{Server: 9, Failed: 16}), start)
-	o.Record(Peer{Addr: peerB.Addr, Zone: "b"}, reportOf(Outcomes{Server: 8, Failed: 80}), start)
+	o.Record(peerA, reportOf(Outcomes{Server: 7, Failed: 8}, Outcomes{Server: 9, Failed: 16}, Outcomes{Server: 8, Failed: 80}), start)
+	o.Record(peerB, reportOf(Outcomes{Server: 7, Failed: 8}, Outcomes{Server: 9, Failed: 16}), start)
+	o.Record(Peer{Addr: netip.MustParseAddr("10.0.0.3"), Zone: "b"}, reportOf(Outcomes{Server: 8, Failed: 80}), start)
 	o.AddTo(&r, true, start)
 	is.Equal(r.Outcomes, []Outcomes{{Server: 9, Timely: outcomeScale}, {Server: 7, Timely: outcomeScale}})
 	r = Report{}
@@ -85,7 +86,8 @@
 		o.Record(peerA, reportOf(Outcomes{Server: c, Failed: math.MaxInt32}), start)
 	}
 	is.Equal(len(o.peers), maxPeerServers)
-	is.Equal(o.Witnessed(0, start).Total(), float64(maxPeerSum))
+	is.Equal(o.Witnessed(0, start).Total(), 0.0)
+	is.Equal(o.Witnessed(1, start).Failed, 4.0) // the others' two, and as many of peerA's
 	is.Equal(o.Witnessed(2*maxPeerServers, start).Total(), 0.0)
 	o.Record(peerA, reportOf(Outcomes{Server: 1}), start)
 	var r Report
--- a/internal/placement/outliers.go
+++ b/internal/placement/outliers.go
@@ -253,11 +253,11 @@
 
 // exceededBy reports whether a server fails far more requests than the norm, and sets its
 // shares. Daemons that have seen no failure report late; until they do, the server is assumed
-// to have got the usual requests from them. What a single peer claims does not suffice.
+// to have got the usual requests from them.
 func (n *norm) exceededBy(c *candidate) bool {
 	poolShare, poolRequests := n.others(c)
 	failed, requests := c.seen.Failed, c.seen.Total()+float64(max(0, n.daemons-c.seen.Reporters))*n.own.mean
-	if requests < minOutcomes || failed < minFailed || c.seen.Witnesses < 2 && c.seen.Own.Failed < minFailed {
+	if requests < minOutcomes || failed < minFailed {
 		return false
 	}
 	c.share, c.poolShare, c.requests = failed/requests, poolShare, requests
