Keep errors out of the norm of a route's answers

When one server got most of a daemon's requests and failed them, the median followed the errors, which were then no longer short. A short answer now moves the median only while short answers are ordinary for the route. Found by the new test with real daemons and servers.

--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -469,6 +469,46 @@
 	}
 }
 
+// Guards against a daemon that does not notice a server that fails requests, or does not use
+// it again after it has recovered.
+func TestFailingServerLosesItsFlows(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	backends := map[string]*platform.Backend{}
+	for n := range byte(4) {
+		b := s.addBackend(n+1, "a")
+		backends[b.ID+" hello"] = b
+	}
+	d := s.start("a")
+	s.awaitReady(d)
+	request := func() string {
+		answer, err := s.request(d, serviceAddr)
+		is.NoErr(err)
+		return answer
+	}
+	for range 40 {
+		request()
+	}
+	failing := backends[request()]
+	failing.SetFailing(true)
+	logged := func(e events.Event) func() bool {
+		return func() bool {
+			request()
+			return d.logs.FilterMessage(e.Message).Len() > 0
+		}
+	}
+	s.await("failing server noticed", 10*time.Second, logged(events.ServerFails))
+	failed := 0
+	for range 50 {
+		if request() == "err" {
+			failed++
+		}
+	}
+	is.True(failed <= 10) // a trial is one flow in 20 of the server's
+	failing.SetFailing(false)
+	s.await("server serves again", 20*time.Second, logged(events.ServerServes))
+}
+
 // Guards against changed settings that have no effect, and against an invalid file
 // that stops the daemon.
 func TestReload(t *testing.T) {
--- a/internal/evidence/norms.go
+++ b/internal/evidence/norms.go
@@ -63,6 +63,9 @@
 	}
 	r.answers++
 	r.shortShare += max(shortShareGain, 1/float64(r.answers+minNormAnswers)) * (short - r.shortShare)
+	if short > 0 && r.answers > minNormAnswers && r.shortShare <= maxShortShare {
+		return // errors do not become the norm
+	}
 	step := max(medianGain, 1/float64(r.answers))
 	r.median += max(-step, min(step, math.Log(float64(length))-r.median))
 }
--- a/internal/evidence/norms_test.go
+++ b/internal/evidence/norms_test.go
@@ -65,3 +65,21 @@
 		})
 	}
 }
+
+// Guards against a norm that follows the errors of a server which gets most of the requests,
+// and against one that does not follow answers that have become shorter for good.
+func TestNormFollowsNoErrors(t *testing.T) {
+	is := is.New(t)
+	n := NewAnswerNorms()
+	for range 1000 {
+		n.Learn("r", 1000)
+	}
+	for range 100 {
+		n.Learn("r", errorLength)
+	}
+	is.True(n.ShortLength("r") > errorLength)
+	for range 2000 {
+		n.Learn("r", errorLength)
+	}
+	is.True(n.ShortLength("r") < errorLength)
+}
--- a/standin/platform/backend.go
+++ b/standin/platform/backend.go
@@ -38,6 +38,7 @@
 	mu           sync.Mutex
 	writes       uint64 // number of registrations since the start
 	unresponsive bool
+	failing      bool
 	flows        map[[2]netip.AddrPort]*backendFlow
 	// executed counts the executions of each request.
 	executed    map[string]int
@@ -86,6 +87,13 @@
 	b.unresponsive = unresponsive
 }
 
+// SetFailing sets whether the server answers all requests with a short error.
+func (b *Backend) SetFailing(failing bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failing = failing
+}
+
 // Restart drops the server's flows and changes its start time, like a new process
 // with the same id.
 func (b *Backend) Restart() {
@@ -207,6 +215,9 @@
 			b.executed[string(p.Data)]++
 			f.next += uint32(len(p.Data))
 			f.response = append([]byte(b.ID+" "), p.Data...)
+			if b.failing {
+				f.response = []byte("err")
+			}
 		}
 		b.reply(p, Packet{Seq: f.seq + 1, Flags: ACK, Data: f.response})
 	}
