Notice failing servers also where a daemon uses few others

And a probation without results now goes on at the usual share of flows instead of ending, since few requests show a result on a quiet pool.

--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -23,7 +23,8 @@
 	Flows          int   `json:"flows"`
 	PeersKnown     int   `json:"peers_known"`
 	PeersLive      int   `json:"peers_live"`
-	// FailingServers are the servers that fail far more requests than their pools.
+	// FailingServers are the servers that get fewer flows since they fail far more requests
+	// than their pools.
 	FailingServers []string `json:"failing_servers,omitempty"`
 }
 
@@ -40,7 +41,7 @@
 		s.ConfigVersion, s.Servers = dir.Config.Version, dir.ServerCount()
 		s.DirectoryAgeMS = d.follower.Age(now).Milliseconds()
 	}
-	for _, c := range d.placer.Failing() {
+	for _, c := range d.placer.Failing(now) {
 		s.FailingServers = append(s.FailingServers, d.serverName(c))
 	}
 	s.PeersKnown, s.PeersLive = d.table.PeerCounts(now)
--- a/internal/placement/outliers.go
+++ b/internal/placement/outliers.go
@@ -29,6 +29,9 @@
 	// ordinaryFailures and ordinaryRequests are assumed in each pool, so that a few
 	// requests do not make a norm.
 	ordinaryFailures, ordinaryRequests = 0.02, 1.0
+	// minPoolRequests is assumed where a daemon has sent fewer requests to the other servers:
+	// one that prefers a failing server must notice it all the same.
+	minPoolRequests = 8.0
 	// minUsed is the number of own requests from which on a server counts for the norm.
 	minUsed = 0.25
 	// maxFailingShare is the greatest part of a pool that can be failing at a time.
@@ -43,7 +46,7 @@
 	// probationStep is the time in which the flows of a server on probation double, and
 	// maxProbation how long a probation lasts if hardly any request shows its result.
 	probationStep = 1250 * time.Millisecond
-	maxProbation  = 3 * probationStep
+	maxProbation  = 8 * probationStep
 	// minRecoveryOutcomes is the number of requests that show a recovery, and
 	// minProbationFailed that of failed ones that end a probation.
 	minRecoveryOutcomes, minProbationFailed = 5.0, 1.5
@@ -267,7 +270,7 @@
 // outlierShare returns the share of failed requests from which on a server with a number of
 // requests stands out from a pool.
 func outlierShare(poolShare, poolRequests, requests float64) float64 {
-	deviation := math.Sqrt(poolShare * (1 - poolShare) * (1/requests + 1/poolRequests))
+	deviation := math.Sqrt(poolShare * (1 - poolShare) * (1/requests + 1/max(poolRequests, minPoolRequests)))
 	return poolShare + max(minExcess, outlierDeviations*deviation)
 }
 
@@ -407,13 +410,15 @@
 	return rec != nil && rec.inProgress+rec.peerInProgress > 2*s.Slots
 }
 
-// Failing returns the servers that count as failing.
-func (p *Placer) Failing() []directory.Cookie {
+// Failing returns the servers that get fewer flows than usual because they fail.
+func (p *Placer) Failing(now time.Time) []directory.Cookie {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []directory.Cookie
-	for c := range p.outliers.failing {
-		out = append(out, c)
+	for c, f := range p.outliers.failing {
+		if f.trialShare(now) < 1 {
+			out = append(out, c)
+		}
 	}
 	slices.Sort(out)
 	return out
--- a/internal/placement/outliers_load_test.go
+++ b/internal/placement/outliers_load_test.go
@@ -147,8 +147,10 @@
 	return without, m.run(9, *policies)
 }
 
-// failingServers returns how many servers count as failing to a daemon.
-func failingServers(p policy) int { return len(p.(*comparingPolicy).placer.Failing()) }
+// failingServers returns how many servers get fewer flows than usual from a daemon.
+func failingServers(p policy, now time.Duration) int {
+	return len(p.(*comparingPolicy).placer.Failing(epoch.Add(now)))
+}
 
 // Guards against servers that fail half of their requests at once and therefore draw
 // flows. After they have recovered, they must serve again.
@@ -172,7 +174,7 @@
 			}
 			failing := 0
 			for _, p := range policies {
-				failing += failingServers(p)
+				failing += failingServers(p, greyUntil+recoveryTime)
 			}
 			if failing > 0 {
 				t.Errorf("servers are taken for failing %d times after they have recovered", failing)
@@ -195,7 +197,7 @@
 				}
 				victim := daemon%modelZones == 0
 				if policies != nil && now > greyFrom+2*time.Second {
-					failing[victim] += failingServers(policies[daemon])
+					failing[victim] += failingServers(policies[daemon], now)
 				}
 				if victim && isGrey(server) {
 					return greyShare
@@ -224,7 +226,7 @@
 						return 0
 					}
 					if policies != nil {
-						failing += failingServers(policies[daemon])
+						failing += failingServers(policies[daemon], now)
 						looks++
 					}
 					return share
