--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -35,6 +35,8 @@
 	codec       Codec
 	directories DirectorySource
 	placer      *placement.Placer
+	outcomes    *evidence.OutcomeTally
+	norms       *evidence.AnswerNorms
 	metrics     *metrics.Registry
 	log         *events.Logger
 	// flowLifetime is the maximum lifetime of a flow.
@@ -57,6 +59,10 @@
 	Codec       Codec
 	Directories DirectorySource
 	Placer      *placement.Placer
+	// Outcomes and Norms get the results of requests and the lengths of answers; nil for
+	// ones of the engine's own.
+	Outcomes *evidence.OutcomeTally
+	Norms    *evidence.AnswerNorms
 	// FlowLifetime is the maximum lifetime of a flow.
 	FlowLifetime time.Duration
 	// Silences is the evidence that servers are gone. If it is nil, open flows are not reset.
@@ -67,9 +73,15 @@
 
 // NewEngine returns an Engine without flows.
 func NewEngine(o Options) *Engine {
+	if o.Outcomes == nil {
+		o.Outcomes = evidence.NewOutcomeTally("", nil)
+	}
+	if o.Norms == nil {
+		o.Norms = evidence.NewAnswerNorms()
+	}
 	return &Engine{
-		codec: o.Codec, directories: o.Directories, placer: o.Placer, flowLifetime: o.FlowLifetime, metrics: o.Metrics, log: o.Log,
-		silences: o.Silences, flows: map[flowKey]*flow{}, longRoutes: map[string]bool{},
+		codec: o.Codec, directories: o.Directories, placer: o.Placer, outcomes: o.Outcomes, norms: o.Norms, silences: o.Silences,
+		flowLifetime: o.FlowLifetime, metrics: o.Metrics, log: o.Log, flows: map[flowKey]*flow{}, longRoutes: map[string]bool{},
 	}
 }
 
@@ -163,7 +175,7 @@
 	key := flowKey{p.Caller, p.Service}
 	f := e.flows[key]
 	if f != nil && f.isReusedBy(p, now) {
-		e.forget(key, f)
+		e.forget(key, f, now)
 		f = nil
 	}
 	if f != nil && f.established {
@@ -201,6 +213,9 @@
 		return nil, &refusal{reason, len(candidates) > 0 || !now.Before(d.SettledAt)}
 	}
 	e.metrics.Count(metrics.FlowsOpened, 1)
+	if ticket.Trial() {
+		e.metrics.Count(metrics.TrialFlows, 1)
+	}
 	if avoid != 0 && avoid != server.Cookie {
 		e.metrics.Count(metrics.FlowsMoved, 1)
 	}
@@ -274,10 +289,11 @@
 	}
 	f.refreshServer(d)
 	if refused := e.refuseGone(f.server, f.route, p, now); refused != nil {
-		e.forget(key, f)
+		e.forget(key, f, now)
 		return nil, nil, refused
 	}
 	e.trackRequest(f, p, now)
+	e.trackAnswer(f, p, now)
 	return f.server, e.correctAlternates(d, f, p, now), nil
 }
 
@@ -298,6 +314,7 @@
 	}
 	if f.server.Cookie != server.Cookie {
 		e.abandonRequest(f)
+		e.dropAnswer(f, now)
 		f.progress = progress{}
 	}
 	f.server = server
@@ -386,9 +403,7 @@
 	}
 	s := f.progress.observe(p, now)
 	if s.answered && f.ticket != nil {
-		e.metrics.Observe(metrics.RequestAnswered, s.took)
-		e.placer.Done(f.ticket, now)
-		f.ticket = nil
+		e.endRequest(f, p, s.took, now)
 	}
 	if s.requested {
 		if f.ticket == nil {
@@ -402,6 +417,20 @@
 	e.reportProgress(f, s, now)
 }
 
+// endRequest closes the ticket of a request to which the first part of an answer has come.
+func (e *Engine) endRequest(f *flow, p Packet, took time.Duration, now time.Time) {
+	switch length := int(int32(p.Ack - f.answer.requestAck)); {
+	case length <= closeLength:
+		e.placer.Abandon(f.ticket)
+	case length < e.norms.ShortLength(f.route.Name):
+		e.placer.Fail(f.ticket, now)
+	default:
+		e.metrics.Observe(metrics.RequestAnswered, took)
+		e.placer.Done(f.ticket, now)
+	}
+	f.ticket = nil
+}
+
 // Expire deletes the records of flows that have ended or timed out. It returns the resets
 // for flows whose servers are gone.
 func (e *Engine) Expire(now time.Time) []Verdict {
@@ -410,6 +439,7 @@
 	resets := e.resetGone(now)
 	idleTimeout := e.idleTimeout()
 	for key, f := range e.flows {
+		e.checkAnswer(f, now)
 		overdue := f.isAnswerOverdue(now)
 		if overdue {
 			e.placer.Fail(f.ticket, now)
@@ -420,6 +450,7 @@
 				zap.Duration("silent_for", now.Sub(f.lastSeen)))
 		}
 		if overdue && !f.contested || f.ticket == nil && f.expired(now, e.flowLifetime, idleTimeout) {
+			e.dropAnswer(f, now)
 			delete(e.flows, key)
 		}
 	}
@@ -439,8 +470,9 @@
 }
 
 // forget deletes the record of a flow.
-func (e *Engine) forget(key flowKey, f *flow) {
+func (e *Engine) forget(key flowKey, f *flow, now time.Time) {
 	e.abandonRequest(f)
+	e.dropAnswer(f, now)
 	delete(e.flows, key)
 }
 
--- a/internal/cookie/flows.go
+++ b/internal/cookie/flows.go
@@ -40,6 +40,8 @@
 	// restarted is set if the server has started again since the flow was opened.
 	restarted          bool
 	openedAt, lastSeen time.Time
+	// answer is the answer to the request in progress.
+	answer answer
 	// placedAt is when the opening packet was forwarded to the current server.
 	placedAt time.Time
 }
--- a/internal/cookie/gone.go
+++ b/internal/cookie/gone.go
@@ -143,7 +143,7 @@
 		}
 		resets = append(resets, e.resetFlow(key, f))
 		e.logReset(key, f.server, reason, f.progress.waiting)
-		e.forget(key, f)
+		e.forget(key, f, now)
 	}
 	e.silences.SetHeld(held)
 	e.metrics.Count(metrics.FlowsReset, int64(len(resets)))
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -79,6 +79,8 @@
 	evidence *evidence.Pool
 	// silences is nil unless flows of servers that are gone are reset.
 	silences *evidence.Silences
+	outcomes *evidence.OutcomeTally
+	norms    *evidence.AnswerNorms
 	pauses   *pause.Monitor
 	leaving  atomic.Bool
 	killed   chan struct{}
@@ -91,7 +93,11 @@
 // New creates a daemon and opens its sockets. Call Run or Close next.
 func New(o Options) (*Daemon, error) {
 	watch := registry.WatchTimesFor(o.Settings.RecoveryTime, o.Settings.ReactionTime())
-	d := &Daemon{options: o, killed: make(chan struct{}), pauses: pause.NewMonitor(time.Now(), staleAfter), placer: placement.New(o.Settings.Zone, rand.Uint64())}
+	d := &Daemon{
+		options: o, killed: make(chan struct{}), pauses: pause.NewMonitor(time.Now(), staleAfter), placer: placement.New(o.Settings.Zone, rand.Uint64()),
+		norms: evidence.NewAnswerNorms(),
+	}
+	d.outcomes = evidence.NewOutcomeTally(o.Settings.Zone, d.isServer)
 	d.follower = registry.NewFollower(registry.Options{
 		Source: o.Source, Decoder: o.Decoder, Log: o.Log, Metrics: o.Metrics, Watch: watch, Pauses: d.pauses,
 		Keep:     directory.RetentionFor(o.Settings.DrainTime, o.Settings.FlowLifetime),
@@ -101,7 +107,8 @@
 		d.silences = d.newSilences()
 	}
 	d.engine = cookie.NewEngine(cookie.Options{
-		Codec: o.Codec, Directories: d.follower, Placer: d.placer, FlowLifetime: o.Settings.FlowLifetime, Silences: d.silences, Metrics: o.Metrics, Log: o.Log,
+		Codec: o.Codec, Directories: d.follower, Placer: d.placer, Outcomes: d.outcomes, Norms: d.norms, Silences: d.silences,
+		FlowLifetime: o.Settings.FlowLifetime, Metrics: o.Metrics, Log: o.Log,
 	})
 	d.table = exchange.NewPeerTable(exchange.PeerTableOptions{
 		Self: o.Settings.Peer.Addr(), Zone: o.Settings.Zone, Seeds: addrs(o.Settings.Seeds), MaxAge: watch.MaxAge(),
@@ -117,13 +124,22 @@
 		return nil, err
 	}
 	d.follower.OnChange(d.placer.Apply)
+	d.follower.OnChange(d.norms.Prune)
 	d.follower.OnChange(d.exchange.Apply)
 	d.placer.OnChange(d.exchange.ReportLoad)
 	d.placer.OnAvoidanceChange(d.logAvoidanceChange)
+	d.placer.SetOutcomes(d.outcomes)
+	d.placer.OnOutlierChange(d.logOutlierChange)
 	d.placer.SetUnreachableFunc(d.table.ZoneSilent)
 	return d, nil
 }
 
+// isServer reports whether the directory has a server.
+func (d *Daemon) isServer(c directory.Cookie) bool {
+	current := d.follower.Current()
+	return current != nil && current.ByCookie(c) != nil
+}
+
 // listen opens the daemon's sockets.
 func (d *Daemon) listen() error {
 	o := d.options
@@ -324,5 +340,6 @@
 			d.send(reset)
 		}
 		d.placer.ExpirePeers(now)
+		d.outcomes.Expire(now)
 	}
 }
--- a/internal/entry/gone.go
+++ b/internal/entry/gone.go
@@ -21,7 +21,7 @@
 
 // newEvidence returns the kinds of evidence that the daemon shares with its peers.
 func (d *Daemon) newEvidence() *evidence.Pool {
-	sources := []evidence.Source{d.placer}
+	sources := []evidence.Source{d.placer, d.outcomes}
 	if d.silences != nil {
 		sources = append(sources, d.silences)
 	}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -30,6 +30,9 @@
 	// PacedServers are the ids of servers that have started or recovered and get only
 	// as much as they have shown that they can answer.
 	PacedServers []string `json:"paced_servers,omitempty"`
+	// FailingServers are the servers that get fewer flows since they fail far more requests
+	// than their pools.
+	FailingServers []string `json:"failing_servers,omitempty"`
 }
 
 // Evacuation is an evacuated availability zone in a Status.
@@ -69,6 +72,9 @@
 	if d.silences != nil {
 		s.ServersGone = d.silences.GoneCount()
 	}
+	for _, c := range d.placer.Failing(now) {
+		s.FailingServers = append(s.FailingServers, d.serverName(c))
+	}
 	s.PeersKnown, s.PeersLive = d.table.PeerCounts(now)
 	return json.Marshal(s)
 }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -90,6 +90,8 @@
 	ServerBack      = Event{Number: 451, Level: warnLevel, Message: "server no longer counts as gone", Action: "find out why the server was silent", PerSecond: serverLinesPerSecond}
 	FlowReset       = Event{Number: 452, Level: infoLevel, Message: "open flow of a server that is gone was reset", Action: "none", PerSecond: flowLinesPerSecond}
 	VerdictWithheld = Event{Number: 453, Level: warnLevel, Message: "too many servers of a pool are silent to judge one of them", Action: "check the network to the pool", PerSecond: serverLinesPerSecond}
+	ServerFails     = Event{Number: 460, Level: warnLevel, Message: "server fails requests while it accepts flows", Action: "check the server", PerSecond: serverLinesPerSecond}
+	ServerServes    = Event{Number: 461, Level: infoLevel, Message: "server takes its usual flows again after failures", Action: "none", PerSecond: serverLinesPerSecond}
 )
 
 // All returns every event, ordered by number.
@@ -104,5 +106,6 @@
 		FlowPlaced, FlowRefused, FlowUnanswered, ServerSuspected, ServerRecovered, ZoneUnreachable, ZoneReachable, CookieCorrected,
 		PaceStarted, PaceEnded,
 		ServerGone, ServerBack, FlowReset, VerdictWithheld,
+		ServerFails, ServerServes,
 	}
 }
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -99,6 +99,9 @@
 	FlowsReset           Reason = "flows_reset"
 	ServersGone          Reason = "servers_gone"
 	ServerProbes         Reason = "server_probes"
+	RequestsFailed       Reason = "requests_failed"
+	ServersFailing       Reason = "servers_failing"
+	TrialFlows           Reason = "trial_flows"
 )
 
 var totalNames = []Reason{
@@ -107,7 +110,7 @@
 	ExceptionsSent, ExceptionsStored, ExceptionsHandover, TablesApplied,
 	StoreCalls, ControlBytesSent, ControlBytesReceived, MembersDied,
 	ProbesSent, FlowsUnanswered, ServersSuspected, FlowsMoved, CookiesCorrected, RequestsRepeated,
-	PacesStarted, PacesEnded, FlowsReset, ServersGone, ServerProbes,
+	PacesStarted, PacesEnded, FlowsReset, ServersGone, ServerProbes, RequestsFailed, ServersFailing, TrialFlows,
 }
 
 // Names of the latency histograms.
--- a/internal/placement/pace_load_test.go
+++ b/internal/placement/pace_load_test.go
@@ -76,10 +76,10 @@
 	}
 }
 
-func (d *startDaemon) choose(key uint64, now time.Time) (int, func(time.Time), func()) {
+func (d *startDaemon) choose(key uint64, now time.Time) (int, func(time.Time, bool), func()) {
 	d.apply(now)
 	s, ticket := d.placer.Choose(Request{Route: d.route, Candidates: d.candidates, Now: now})
-	return int(s.Number) - 1, func(end time.Time) {
+	return int(s.Number) - 1, func(end time.Time, _ bool) {
 		d.placer.MarkRequestSent(ticket, now)
 		d.placer.Done(ticket, end)
 	}, func() { d.placer.Fail(ticket, now.Add(time.Second)) }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -58,6 +58,10 @@
 	unreachable       func(zone string, now time.Time) bool
 	pacer             *pace.Pacer
 	directoryAge      func(now time.Time) time.Duration
+
+	outliers *outliers
+	// failed are the failed requests that count as in progress.
+	failed []failedRequest
 }
 
 // serverState is the state of one backend server.
@@ -88,6 +92,7 @@
 		zone: zone, random: rand.New(rand.NewPCG(seed, 0)), servers: map[directory.Cookie]*serverState{}, zones: map[string]*suspicion{},
 		serviceTimes: map[string]time.Duration{}, peers: map[string]*peerLoad{}, unreachableZones: map[string]bool{},
 		onChange: func() {}, onAvoidanceChange: func(AvoidanceChange) {}, unreachable: func(string, time.Time) bool { return false },
+		outliers: newOutliers(),
 	}
 	p.SetPace(PaceOptions{DirectoryAge: func(time.Time) time.Duration { return 0 }})
 	return p
@@ -118,6 +123,8 @@
 func (p *Placer) Choose(r Request) (*directory.Server, *Ticket) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeFailed(r.Now)
+	p.outliers.judge(r.Candidates, r.Now)
 	var best *directory.Server
 	bestCost, ties := math.Inf(1), 0
 	e := estimator{placer: p, request: r, serviceTime: p.serviceTime(r.Route.Name).Seconds(), zoneCosts: map[string]float64{}, pace: p.paceRules(r)}
@@ -139,8 +146,14 @@
 	if best == nil {
 		return nil, nil
 	}
+	trial := p.trialServer(r, &e)
+	if trial != nil {
+		best, bestCost = trial, e.cost(trial)
+	}
+	ticket := p.open(best, r, time.Duration(bestCost*float64(time.Second)))
+	ticket.trial = trial != nil
 	p.pacer.Placed(best, r.Now)
-	return best, p.open(best, r, time.Duration(bestCost*float64(time.Second)))
+	return best, ticket
 }
 
 // estimator estimates the costs of the candidates for one flow. What does not differ
@@ -167,7 +180,7 @@
 	if s.Cold(now) && !p.pacer.Enabled() {
 		slowness = max(slowness, coldSlowness)
 	}
-	cost := slowness*queueFactor(rec, s)*e.serviceTime + e.zoneCost(s.Zone)
+	cost := slowness*queueFactor(rec, s)*e.serviceTime + e.zoneCost(s.Zone) + p.outliers.penalty(s, e.request.Route)
 	if p.serverAvoided(s.Cookie, rec, now) || s.Cookie == e.request.Avoid {
 		return cost + suspicionPenalty.Seconds()
 	}
@@ -212,4 +225,5 @@
 			delete(p.servers, c)
 		}
 	}
+	p.outliers.prune(d)
 }
