--- a/cmd/knapweedshored/entry_test.go
+++ b/cmd/knapweedshored/entry_test.go
@@ -63,6 +63,7 @@
 	is.Equal(s.EvacuationTime, 1500*time.Millisecond)
 	is.Equal(s.ReactionTime(), s.EvacuationTime) // the shortest bound
 	is.True(s.ResetGoneFlows)
+	is.True(s.AvoidFailingServers)
 
 	// The platform gives no seeds and no bounds.
 	minimal := maps.Clone(platformValues)
@@ -80,11 +81,11 @@
 func TestEntryChecksItsSettings(t *testing.T) {
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "entry.ini")
-	is.NoErr(os.WriteFile(path, []byte("[vm]\nname = ?\nregion = r\nzone = a\n[limits]\ngrace_s = -1\nrecovery_ms = x\nevacuate_ms = 0\nreset_gone_flows = 1\n"), 0o600))
+	is.NoErr(os.WriteFile(path, []byte("[vm]\nname = ?\nregion = r\nzone = a\n[limits]\ngrace_s = -1\nrecovery_ms = x\nevacuate_ms = 0\nreset_gone_flows = 1\navoid_failing_servers = on\n"), 0o600))
 	for _, args := range [][]string{{"entry", "--config", path}, {"check-config", "--entry", "--config", path}} {
 		got := execute(args...)
 		is.Equal(got.code, exitFailure)
-		for _, part := range []string{`"name"`, `"grace_s"`, `"recovery_ms"`, `"evacuate_ms"`, `"reset_gone_flows"`, `"data"`, `"store"`} {
+		for _, part := range []string{`"name"`, `"grace_s"`, `"recovery_ms"`, `"evacuate_ms"`, `"reset_gone_flows"`, `"avoid_failing_servers"`, `"data"`, `"store"`} {
 			is.True(strings.Contains(got.err, part))
 		}
 	}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -128,8 +128,10 @@
 	d.follower.OnChange(d.exchange.Apply)
 	d.placer.OnChange(d.exchange.ReportLoad)
 	d.placer.OnAvoidanceChange(d.logAvoidanceChange)
-	d.placer.SetOutcomes(d.outcomes)
-	d.placer.OnOutlierChange(d.logOutlierChange)
+	if o.Settings.AvoidFailingServers {
+		d.placer.SetOutcomes(d.outcomes)
+		d.placer.OnOutlierChange(d.logOutlierChange)
+	}
 	d.placer.SetUnreachableFunc(d.table.ZoneSilent)
 	return d, nil
 }
--- a/internal/entry/gone.go
+++ b/internal/entry/gone.go
@@ -21,7 +21,10 @@
 
 // newEvidence returns the kinds of evidence that the daemon shares with its peers.
 func (d *Daemon) newEvidence() *evidence.Pool {
-	sources := []evidence.Source{d.placer, d.outcomes}
+	sources := []evidence.Source{d.placer}
+	if d.options.Settings.AvoidFailingServers {
+		sources = append(sources, d.outcomes)
+	}
 	if d.silences != nil {
 		sources = append(sources, d.silences)
 	}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -49,6 +49,9 @@
 	FlowLifetime time.Duration
 	// ResetGoneFlows is set if open flows whose server is gone are reset.
 	ResetGoneFlows bool
+	// AvoidFailingServers is set if servers that fail far more requests than the others of
+	// their pools get fewer new flows.
+	AvoidFailingServers bool
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
@@ -151,6 +154,9 @@
 	{Section: "limits", Name: "reset_gone_flows", Default: "no",
 		Meaning: "yes or no: whether callers with several requests on a flow get a reset when the flow's server is gone",
 		set:     func(s *draft, v string) string { return setYesNo(&s.entry.ResetGoneFlows, v) }},
+	{Section: "limits", Name: "avoid_failing_servers", Default: "no",
+		Meaning: "yes or no: whether servers that fail far more requests than the others of their pools get fewer new flows",
+		set:     func(s *draft, v string) string { return setYesNo(&s.entry.AvoidFailingServers, v) }},
 
 	{Section: "log", Name: "level", Default: "info",
 		Meaning: "lowest level that is logged: debug, info, warn or error",
@@ -213,6 +219,7 @@
 	addIf("limits.config_ms", e.ConfigTime != next.ConfigTime)
 	addIf("limits.evacuate_ms", e.EvacuationTime != next.EvacuationTime)
 	addIf("limits.reset_gone_flows", e.ResetGoneFlows != next.ResetGoneFlows)
+	addIf("limits.avoid_failing_servers", e.AvoidFailingServers != next.AvoidFailingServers)
 	addIf("limits.flow_life_s", e.FlowLifetime != next.FlowLifetime)
 	return changed
 }
--- a/standin/entrysite/site.go
+++ b/standin/entrysite/site.go
@@ -191,6 +191,7 @@
 		PeerListen: s.addr(daemonGroup, n, peerPort), Store: endpoint.Addr(),
 		Seeds:       []netip.AddrPort{s.addr(daemonGroup, 1, peerPort), s.addr(daemonGroup, 2, peerPort)},
 		GracePeriod: gracePeriod, RecoveryTime: 4 * time.Second, DrainTime: 3 * time.Second, ConfigTime: 3 * time.Second, FlowLifetime: time.Minute, LogLevel: "info",
+		ResetGoneFlows: true, AvoidFailingServers: true,
 	}}
 	s.daemons = append(s.daemons, m)
 	s.router.Add(m.settings.Data, m.settings.Ready)
