--- a/internal/cookie/answers.go
+++ b/internal/cookie/answers.go
@@ -39,7 +39,7 @@
 func (a *answer) length() int { return int(a.acked - a.requestAck) }
 
 // trackAnswer updates the flow's answer from a packet of the caller.
-func (e *Engine) trackAnswer(f *flow, p Packet, now time.Time) {
+func (e *Engine) trackAnswer(f *flow, p Packet, s step, now time.Time) {
 	a := &f.answer
 	if a.awaited && int32(p.Ack-a.acked) > 0 {
 		if a.length() <= closeLength {
@@ -47,10 +47,10 @@
 		}
 		a.acked, a.grewAt = p.Ack, now
 	}
-	if a.awaited && (p.Ends || p.Aborts || p.PayloadLen > 0 && a.length() > closeLength) {
+	if a.awaited && (p.Ends || p.Aborts || s.requested) {
 		e.endAnswer(f, now)
 	}
-	if !a.awaited && p.PayloadLen > 0 && !p.Aborts {
+	if !a.awaited && s.requested {
 		a.awaited, a.requestAck, a.acked, a.requestedAt = true, p.Ack, p.Ack, now
 		a.busy = e.placer.Busy(f.server)
 	}
--- a/internal/cookie/answers_test.go
+++ b/internal/cookie/answers_test.go
@@ -103,9 +103,9 @@
 	h := newHarness(t)
 	h.learnNorm()
 	c, ack := h.ask(), uint32(1000)
-	for range 5 {
+	for i := range uint32(5) {
 		ack += failLength
-		h.send(Packet{Cookie: c, Ack: ack, PayloadLen: 300})
+		h.send(Packet{Cookie: c, Seq: 300 * (i + 1), Ack: ack, PayloadLen: 300})
 	}
 	h.is.Equal(h.sums(c), evidence.Sums{Failed: 1})
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -107,6 +107,20 @@
 type Config struct {
 	Version uint64
 	Routes  []Route
+	// IdleTimeout is how long a flow without packets stays open; zero if the configuration
+	// does not say.
+	IdleTimeout time.Duration
+	// Pools holds the settings of pools by name.
+	Pools map[string]PoolSettings
+}
+
+// PoolSettings is what the configuration states of the servers of a pool.
+type PoolSettings struct {
+	// ColdStart is how long a server is slow after its start; zero if unknown.
+	ColdStart time.Duration
+	// ColdPerSecond limits the new flows that all daemons together place on a server in
+	// any second while it is cold. There is no limit if it is zero.
+	ColdPerSecond float64
 }
 
 // Directory is an immutable snapshot of the routes, servers and daemons.
@@ -124,6 +138,11 @@
 	byCookie map[Cookie]*Server
 	servers  int
 	vms      map[netip.Addr]*VM
+
+	evacuations map[string]*Evacuation
+	// evacuatedPools holds the pools with registered servers in evacuated zones that would
+	// take new flows otherwise.
+	evacuatedPools map[string]bool
 }
 
 // VM is the registration of a daemon.
@@ -140,10 +159,22 @@
 // Route returns the route of a service address, or nil.
 func (d *Directory) Route(a netip.AddrPort) *Route { return d.routes[a] }
 
-// Candidates returns the servers of a pool that take new flows, sorted by name.
-// The slice and the servers must not be modified.
+// Candidates returns the servers of a pool that take new flows, sorted by name. Those in
+// evacuated zones take none. The slice and the servers must not be modified.
 func (d *Directory) Candidates(pool string) []*Server { return d.pools[pool] }
 
+// Pools returns the servers that take new flows by the name of their pool. The map, the
+// slices and the servers must not be modified.
+func (d *Directory) Pools() map[string][]*Server { return d.pools }
+
+// Pool returns the settings of a pool, which are zero if the configuration has none.
+func (d *Directory) Pool(name string) PoolSettings {
+	if d.Config == nil {
+		return PoolSettings{}
+	}
+	return d.Config.Pools[name]
+}
+
 // ByCookie returns the server with a cookie, or nil. It finds retired servers for
 // as long as they may have open flows.
 func (d *Directory) ByCookie(c Cookie) *Server { return d.byCookie[c] }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -58,6 +58,8 @@
 	StoreWatchChanged = Event{Number: 322, Level: infoLevel, Message: "store watch started or stopped", Action: "none"}
 	DirectoryFromPeer = Event{Number: 324, Level: infoLevel, Message: "directory fetched from a peer at startup", Action: "none"}
 	StoreRestored     = Event{Number: 326, Level: warnLevel, Message: "store was restored from a backup", Action: "check that the operators' last changes are in the store"}
+	ZoneEvacuated     = Event{Number: 327, Level: infoLevel, Message: "zone evacuated", Action: "none", PerSecond: serverLinesPerSecond}
+	ZoneReturned      = Event{Number: 328, Level: infoLevel, Message: "evacuation of a zone ended", Action: "none", PerSecond: serverLinesPerSecond}
 	StoreListed       = Event{Number: 325, Level: infoLevel, Message: "store listed", Action: "none", PerSecond: listingLinesPerSecond}
 
 	RegistrationFailed = Event{Number: 323, Level: warnLevel, Message: "registration in the store failed", Action: "check the platform store"}
@@ -80,6 +82,8 @@
 	ServerRecovered = Event{Number: 434, Level: infoLevel, Message: "server accepts flows again", Action: "none", PerSecond: serverLinesPerSecond}
 	ZoneUnreachable = Event{Number: 435, Level: warnLevel, Message: "zone is not reachable", Action: "check the network between the zones"}
 	ZoneReachable   = Event{Number: 436, Level: infoLevel, Message: "zone is reachable again", Action: "none"}
+	PaceStarted     = Event{Number: 444, Level: infoLevel, Message: "server is paced", Action: "none", PerSecond: serverLinesPerSecond}
+	PaceEnded       = Event{Number: 445, Level: infoLevel, Message: "server is no longer paced", Action: "none", PerSecond: serverLinesPerSecond}
 	CookieCorrected = Event{Number: 437, Level: infoLevel, Message: "second server that accepted a flow was told the cookie of the flow's server", Action: "none", PerSecond: flowLinesPerSecond}
 	ServerFails     = Event{Number: 460, Level: warnLevel, Message: "server fails requests while it accepts flows", Action: "check the server", PerSecond: serverLinesPerSecond}
 	ServerServes    = Event{Number: 461, Level: infoLevel, Message: "server takes its usual flows again after failures", Action: "none", PerSecond: serverLinesPerSecond}
@@ -92,9 +96,10 @@
 		LinesDropped, Reloaded, ReloadRefused, Ready, BacklogDropped,
 		MemberJoined, MemberLeaving, MemberSuspected, MemberDied, SuspicionRefuted, LinkOpened, LinkLost, PeerRefused,
 		TablesApplied, TablesRegressed, TablesInvalid, TablesUnconfirmed, FetchFailed, StoreDown, StoreRecovered,
-		DirectoryApplied, ItemRefused, StoreWatchChanged, RegistrationFailed, DirectoryFromPeer, StoreListed, StoreRestored,
+		DirectoryApplied, ItemRefused, StoreWatchChanged, RegistrationFailed, DirectoryFromPeer, StoreListed, StoreRestored, ZoneEvacuated, ZoneReturned,
 		ServerEjected, ServerReinstated, EjectionRefused, SilentFlow, FlowTableFull, NewFlowLimited, BackupChanged,
 		FlowPlaced, FlowRefused, FlowUnanswered, ServerSuspected, ServerRecovered, ZoneUnreachable, ZoneReachable, CookieCorrected,
+		PaceStarted, PaceEnded,
 		ServerFails, ServerServes,
 	}
 }
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -33,6 +33,9 @@
 	NoCookie          Reason = "no_cookie"
 	UnknownCookie     Reason = "unknown_cookie"
 	StalePacket       Reason = "stale_packet"
+	PoolEvacuated     Reason = "pool_evacuated"
+	EvacuatedCopy     Reason = "evacuated_copy"
+	ColdLimit         Reason = "cold_limit"
 )
 
 var refusalReasons = []Reason{
@@ -41,7 +44,7 @@
 	FlowTableFull, NewFlowRate, NoStanding, NoOwner, NoTables, ResetUnconfirmed,
 	ICMPUnknownFlow, StaleTables, PeerNotMember, PeerRefused, LinkQueueFull, ExceptionBudget,
 	ExceptionStale, TablesRegressed, StoreBudget, SendFailed,
-	SilentFlow, NoCookie, UnknownCookie, StalePacket,
+	SilentFlow, NoCookie, UnknownCookie, StalePacket, PoolEvacuated, EvacuatedCopy, ColdLimit,
 }
 
 // Reasons for retrying a call.
@@ -89,6 +92,9 @@
 	ServersSuspected     Reason = "servers_suspected"
 	FlowsMoved           Reason = "flows_moved"
 	CookiesCorrected     Reason = "cookies_corrected"
+	RequestsRepeated     Reason = "requests_repeated"
+	PacesStarted         Reason = "paces_started"
+	PacesEnded           Reason = "paces_ended"
 	RequestsFailed       Reason = "requests_failed"
 	ServersFailing       Reason = "servers_failing"
 	TrialFlows           Reason = "trial_flows"
@@ -99,8 +105,8 @@
 	FlowsClosed, FlowsExpired, FlowsDeviated, SilentFlows, Ejections,
 	ExceptionsSent, ExceptionsStored, ExceptionsHandover, TablesApplied,
 	StoreCalls, ControlBytesSent, ControlBytesReceived, MembersDied,
-	ProbesSent, FlowsUnanswered, ServersSuspected, FlowsMoved, CookiesCorrected,
-	RequestsFailed, ServersFailing, TrialFlows,
+	ProbesSent, FlowsUnanswered, ServersSuspected, FlowsMoved, CookiesCorrected, RequestsRepeated,
+	PacesStarted, PacesEnded, RequestsFailed, ServersFailing, TrialFlows,
 }
 
 // Names of the latency histograms.
--- a/internal/placement/outliers.go
+++ b/internal/placement/outliers.go
@@ -386,7 +386,7 @@
 // trialServer returns the server of a trial, unless it does not answer.
 func (p *Placer) trialServer(r Request, e *estimator) *directory.Server {
 	s := p.outliers.trial(r, p.zone, p.random)
-	if s == nil || e.cost(s)-p.outliers.penalty(s, r.Route) >= suspicionPenalty.Seconds() {
+	if s == nil || !e.mayPlace(s) || e.cost(s)-p.outliers.penalty(s, r.Route) >= suspicionPenalty.Seconds() {
 		return nil
 	}
 	return s
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -22,7 +22,7 @@
 	// minSlowness and maxSlowness bound the estimate for one server.
 	minSlowness, maxSlowness = 0.2, 10.0
 	// coldSlowness is the minimum slowness assumed while a server reports that it
-	// is cold.
+	// is cold, in a fleet too small for paces.
 	coldSlowness = 1.6
 )
 
@@ -39,8 +39,10 @@
 	// expected is the estimated time until the response, and usual the time that the request
 	// takes once it has been sent.
 	expected, usual time.Duration
-	answered        bool
-	closed          bool
+	// timely is the time within which the answer counts as timely.
+	timely   time.Duration
+	answered bool
+	closed   bool
 	// trial is set if the flow tries whether a failing server has recovered.
 	trial bool
 }
@@ -58,8 +60,8 @@
 // open creates the ticket of a new flow. p.mu must be held.
 func (p *Placer) open(s *directory.Server, r Request, expected time.Duration) *Ticket {
 	rec := p.state(s.Cookie)
-	t := &Ticket{server: s.Cookie, zone: s.Zone, route: r.Route.Name, queueFactor: queueFactor(rec, s), expected: expected}
-	t.usual = time.Duration(rec.slowness * t.queueFactor * float64(p.serviceTime(r.Route.Name)))
+	t := p.newTicket(s, rec, r.Route)
+	t.expected = expected
 	rec.inProgress++
 	rec.recordFlowOpened(r.Now)
 	if s.Zone != p.zone {
@@ -69,6 +71,25 @@
 	return t
 }
 
+// Resume returns the ticket of a further request on a flow that server s has accepted.
+func (p *Placer) Resume(s *directory.Server, r *directory.Route, now time.Time) *Ticket {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rec := p.state(s.Cookie)
+	t := p.newTicket(s, rec, r)
+	rec.inProgress++
+	p.onChange()
+	t.answered, t.requestSentAt = true, now
+	return t
+}
+
+// newTicket returns the ticket of a request. p.mu must be held.
+func (p *Placer) newTicket(s *directory.Server, rec *serverState, r *directory.Route) *Ticket {
+	t := &Ticket{server: s.Cookie, zone: s.Zone, route: r.Name, queueFactor: queueFactor(rec, s), timely: timelyTime(r)}
+	t.usual = time.Duration(rec.slowness * t.queueFactor * float64(p.serviceTime(r.Name)))
+	return t
+}
+
 // MarkRequestSent records that the flow's request was forwarded to the server,
 // which must have accepted the flow.
 func (p *Placer) MarkRequestSent(t *Ticket, now time.Time) {
@@ -95,6 +116,9 @@
 	t.answered = true
 	rec := p.state(t.server)
 	rec.lastAnswer = now
+	if rec.suspectedFor > initialSuspicion { // a trial has failed, so that not only one packet was lost
+		p.recordEndOfSilence(t, rec, now)
+	}
 	if rec.recordAnswer() {
 		p.onAvoidanceChange(AvoidanceChange{Server: t.server})
 	}
@@ -114,7 +138,7 @@
 	p.markAnswered(t, now)
 	p.close(t)
 	if !t.requestSentAt.IsZero() {
-		p.updateAverages(t, now.Sub(t.requestSentAt))
+		p.updateAverages(t, now)
 	}
 }
 
@@ -125,14 +149,19 @@
 	p.close(t)
 }
 
-// Fail closes the ticket of a flow whose request the server has failed. The request counts as
-// in progress for the time that it would have taken, since a server that fails at once would
-// otherwise seem to be free and draw flows, and it does not change the averages.
+// Fail closes the ticket of a flow whose server has not answered in time, or has failed the
+// request. A request that has failed earlier than usual counts as in progress for its usual
+// time, since a server that fails at once would otherwise seem to be free and draw flows. The
+// averages do not change.
 func (p *Placer) Fail(t *Ticket, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if t.closed {
+		return
+	}
+	p.pacer.Failed(t.server, now)
 	until := t.requestSentAt.Add(t.usual)
-	if t.closed || t.requestSentAt.IsZero() || !now.Before(until) {
+	if t.requestSentAt.IsZero() || !now.Before(until) {
 		p.close(t)
 		return
 	}
@@ -168,17 +197,20 @@
 }
 
 // updateAverages adds a finished request to the averages of its route and server.
-func (p *Placer) updateAverages(t *Ticket, took time.Duration) {
+func (p *Placer) updateAverages(t *Ticket, now time.Time) {
+	took := now.Sub(t.requestSentAt)
 	rec := p.state(t.server)
 	serviceTime, known := p.serviceTimes[t.route]
 	if !known {
 		p.serviceTimes[t.route] = max(time.Millisecond, time.Duration(float64(took)/t.queueFactor))
+		p.recordPace(t, rec, 1, now)
 		return
 	}
 	sample := took.Seconds() / t.queueFactor / serviceTime.Seconds()
 	sample = min(maxSample, max(minSample, sample))
 	p.serviceTimes[t.route] = max(time.Millisecond, time.Duration(float64(serviceTime)*(1+serviceTimeGain*(sample/rec.slowness-1))))
 	rec.slowness = min(maxSlowness, max(minSlowness, rec.slowness+slownessGain*(sample-rec.slowness)))
+	p.recordPace(t, rec, sample, now)
 }
 
 // serviceTime returns the average service time of a route's requests on a server
