--- a/internal/placement/outliers_load_test.go
+++ b/internal/placement/outliers_load_test.go
@@ -215,8 +215,11 @@
 // Guards against judging servers by what all of them do: a fault of the whole pool, or a route
 // many of whose answers are short by nature. The rest would get the load of the condemned.
 func TestWhatAllServersDoCondemnsNone(t *testing.T) {
-	for _, share := range []float64{maxOrdinaryShare, greyShare} {
-		for name, m := range fleets {
+	for name, m := range fleets {
+		for _, share := range []float64{maxOrdinaryShare, greyShare} {
+			if share == maxOrdinaryShare && m.daemons > 100 {
+				continue // the next smaller fleet shows the same, in half of the time
+			}
 			t.Run(fmt.Sprint(name, ", ", share), func(t *testing.T) {
 				t.Parallel()
 				failing, looks := 0, 0
