--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -292,8 +292,7 @@
 		e.forget(key, f, now)
 		return nil, nil, refused
 	}
-	e.trackRequest(f, p, now)
-	e.trackAnswer(f, p, now)
+	e.trackAnswer(f, p, e.trackRequest(f, p, now), now)
 	return f.server, e.correctAlternates(d, f, p, now), nil
 }
 
@@ -395,15 +394,17 @@
 }
 
 // trackRequest updates the progress of the flow's requests from a packet of the caller.
-func (e *Engine) trackRequest(f *flow, p Packet, now time.Time) {
+func (e *Engine) trackRequest(f *flow, p Packet, now time.Time) step {
 	f.ended = f.ended || p.Ends || p.Aborts
 	if p.Aborts {
 		e.abandonRequest(f)
-		return
+		return step{}
 	}
 	s := f.progress.observe(p, now)
-	if s.answered && f.ticket != nil {
-		e.endRequest(f, p, s.took, now)
+	if s.answered && f.ticket != nil && !e.endFailed(f, p, now) {
+		e.metrics.Observe(metrics.RequestAnswered, s.took)
+		e.placer.Done(f.ticket, now)
+		f.ticket = nil
 	}
 	if s.requested {
 		if f.ticket == nil {
@@ -415,20 +416,25 @@
 		e.metrics.Count(metrics.RequestsRepeated, 1)
 	}
 	e.reportProgress(f, s, now)
+	return s
 }
 
-// endRequest closes the ticket of a request to which the first part of an answer has come.
-func (e *Engine) endRequest(f *flow, p Packet, took time.Duration, now time.Time) {
-	switch length := int(int32(p.Ack - f.answer.requestAck)); {
+// endFailed closes the ticket of a request whose answer is too short for its route so far. It
+// reports false if the answer is none.
+func (e *Engine) endFailed(f *flow, p Packet, now time.Time) bool {
+	length := int(int32(p.Ack - f.answer.requestAck))
+	switch {
+	case !f.answer.awaited:
+		return false
 	case length <= closeLength:
-		e.placer.Abandon(f.ticket)
+		e.abandonRequest(f)
 	case length < e.norms.ShortLength(f.route.Name):
 		e.placer.Fail(f.ticket, now)
+		f.ticket = nil
 	default:
-		e.metrics.Observe(metrics.RequestAnswered, took)
-		e.placer.Done(f.ticket, now)
+		return false
 	}
-	f.ticket = nil
+	return true
 }
 
 // Expire deletes the records of flows that have ended or timed out. It returns the resets
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -60,8 +60,8 @@
 // open creates the ticket of a new flow. p.mu must be held.
 func (p *Placer) open(s *directory.Server, r Request, expected time.Duration) *Ticket {
 	rec := p.state(s.Cookie)
-	t := &Ticket{server: s.Cookie, zone: s.Zone, route: r.Route.Name, queueFactor: queueFactor(rec, s), expected: expected, timely: timelyTime(r.Route)}
-	t.usual = p.usualTime(t, rec)
+	t := p.newTicket(s, rec, r.Route)
+	t.expected = expected
 	rec.inProgress++
 	rec.recordFlowOpened(r.Now)
 	if s.Zone != p.zone {
@@ -71,20 +71,22 @@
 	return t
 }
 
-// usualTime returns the time that a request takes once it has been sent to a server.
-func (p *Placer) usualTime(t *Ticket, rec *serverState) time.Duration {
-	return time.Duration(rec.slowness * t.queueFactor * float64(p.serviceTime(t.route)))
-}
-
 // Resume returns the ticket of a further request on a flow that server s has accepted.
 func (p *Placer) Resume(s *directory.Server, r *directory.Route, now time.Time) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	rec := p.state(s.Cookie)
-	t := &Ticket{server: s.Cookie, zone: s.Zone, route: r.Name, queueFactor: queueFactor(rec, s), timely: timelyTime(r), answered: true, requestSentAt: now}
-	t.usual = p.usualTime(t, rec)
+	t := p.newTicket(s, rec, r)
 	rec.inProgress++
 	p.onChange()
+	t.answered, t.requestSentAt = true, now
+	return t
+}
+
+// newTicket returns the ticket of a request. p.mu must be held.
+func (p *Placer) newTicket(s *directory.Server, rec *serverState, r *directory.Route) *Ticket {
+	t := &Ticket{server: s.Cookie, zone: s.Zone, route: r.Name, queueFactor: queueFactor(rec, s), timely: timelyTime(r)}
+	t.usual = time.Duration(rec.slowness * t.queueFactor * float64(p.serviceTime(r.Name)))
 	return t
 }
 
@@ -147,18 +149,19 @@
 	p.close(t)
 }
 
-// Fail closes the ticket of a flow whose server has not answered in time or has failed the
-// request. The request counts as
-// in progress for the time that it would have taken, since a server that fails at once would
-// otherwise seem to be free and draw flows, and it does not change the averages.
+// Fail closes the ticket of a flow whose server has not answered in time, or has failed the
+// request. A request that has failed earlier than usual counts as in progress for its usual
+// time, since a server that fails at once would otherwise seem to be free and draw flows. The
+// averages do not change.
 func (p *Placer) Fail(t *Ticket, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !t.closed {
-		p.pacer.Failed(t.server, now)
+	if t.closed {
+		return
 	}
+	p.pacer.Failed(t.server, now)
 	until := t.requestSentAt.Add(t.usual)
-	if t.closed || t.requestSentAt.IsZero() || !now.Before(until) {
+	if t.requestSentAt.IsZero() || !now.Before(until) {
 		p.close(t)
 		return
 	}
