Refuse flows of less urgent routes while a pool is overloaded

Cause: nothing refuses for load. Change: internal/admission bounds the requests that a daemon has in progress at a pool, by a limit that follows the delay of its answers, and gives the room to the more urgent routes first; only original opening packets are refused, before any server is offered them.

--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,298 @@
+// Package admission decides whether a new flow is served when its pool has too little
+// room for all of them. It answers one load: more requests than the servers of a pool
+// can answer within the target latencies of their routes, where some routes of the
+// pool are more urgent than others.
+//
+// Each daemon decides alone. It bounds the requests that it has in progress at a pool
+// by a limit that follows the latency of its own answers, and gives the room under the
+// limit to the more urgent routes first. It refuses nothing unless there is evidence
+// that the servers are busy.
+package admission
+
+import (
+	"maps"
+	"math"
+	"net/netip"
+	"sync"
+	"time"
+
+	"knapweedshore.example/internal/directory"
+)
+
+// Limits on the requests in progress. They are multiples of the daemon's share of the
+// pool's slots.
+const (
+	// initialLevel, minLevel and maxLevel bound the limit. Below one request per slot,
+	// slots are idle; at maxLevel, a slot has hardly ever nothing to do, and more requests
+	// only wait.
+	initialLevel, minLevel, maxLevel = 3, 0.75, 3
+	// levelIncrease is added and levelDecrease multiplied once per adjustInterval.
+	levelIncrease, levelDecrease = 0.1, 0.9
+	// busyLevel is the occupancy of the pool from which on its servers count as busy, and
+	// freeLevel that below which they no longer do.
+	busyLevel, freeLevel = 2.0, 1.5
+	// urgentLevel is the limit for all but the least urgent routes.
+	urgentLevel = 4.0
+	// rampStart and rampEnd are where refusals begin and where all flows are refused, as
+	// multiples of the limit.
+	rampStart, rampEnd = 0.75, 1.25
+	// keptShare is the share of the limit that every route keeps, however many more
+	// urgent requests there are.
+	keptShare = 0.05
+)
+
+// Latencies as shares of the target latency. Requests of one route differ by a factor of
+// two or three, and a refused or lost try takes its part of the target too.
+const (
+	// timelyDelay is the average below which the limit may grow, lateDelay that above which
+	// it shrinks.
+	timelyDelay, lateDelay = 0.25, 1.0 / 3
+	// delayGain is the weight of one answer in the average.
+	delayGain = 0.05
+)
+
+const (
+	// observeInterval is the time between two looks at the fleet.
+	observeInterval = 20 * time.Millisecond
+	// adjustInterval is the time between two adjustments of a limit.
+	adjustInterval = 100 * time.Millisecond
+	// calmTime is how long the servers must not have been busy until nothing is refused.
+	calmTime = 300 * time.Millisecond
+	// delayTTL is how long the average delay is used without a new answer.
+	delayTTL = time.Second
+	// activeTime is how long a route counts as asked for after its last new flow. Many routes
+	// of a configuration have no traffic.
+	activeTime = 10 * time.Second
+	// averageTime is the time constant of the average requests in progress of a route.
+	averageTime = 200 * time.Millisecond
+)
+
+// Occupancy is what a daemon and the peers that it has heard recently have in progress
+// at a pool.
+type Occupancy struct {
+	// InProgress is the number of requests, and Daemons that of the daemons that have
+	// placed them, this one included.
+	InProgress, Daemons int
+}
+
+// Fleet is what a Controller has to know of the other daemons and the servers.
+type Fleet interface {
+	// Daemons returns the number of daemons that take flows, this one included.
+	Daemons(now time.Time) int
+	// Occupancy returns the requests in progress at servers.
+	Occupancy(servers []*directory.Server, now time.Time) Occupancy
+}
+
+// Request describes a new flow.
+type Request struct {
+	Route *directory.Route
+	Pool  string
+	// Candidates are the servers of the pool that take new flows.
+	Candidates []*directory.Server
+	Caller     netip.Addr
+	Now        time.Time
+}
+
+// Decision is the outcome for one flow, with the inputs that it rests on.
+type Decision struct {
+	Refused bool
+	// InProgress is the number of requests that the daemon has in progress at the pool,
+	// and Limit the number up to which it admits the least urgent routes.
+	InProgress int
+	Limit      float64
+	// Occupancy is the estimated number of requests in progress per slot of the pool.
+	Occupancy float64
+	// Delay is the average latency of recent answers as a share of their targets.
+	Delay float64
+	// Share is the share of such flows that is refused.
+	Share float64
+}
+
+// Controller decides for one daemon. It is safe for concurrent use.
+type Controller struct {
+	fleet Fleet
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// pool is the state of one pool in which routes compete.
+type pool struct {
+	routes     map[string]*routeState // by name
+	inProgress int
+	level      float64
+	// share is the daemon's share of the slots, and occupancy the pool's requests in
+	// progress per slot, both as of observedAt.
+	share, occupancy       float64
+	observedAt, adjustedAt time.Time
+	// refused is set if a flow was refused since adjustedAt.
+	refused bool
+	delay   float64
+	delayAt time.Time
+	// busyUntil is the end of calmTime after the servers were last busy.
+	busyUntil time.Time
+	callers   callers
+}
+
+// routeState is the state of a route in one pool.
+type routeState struct {
+	priority int
+	// askedAt is when the last new flow came.
+	askedAt    time.Time
+	inProgress int
+	// average is the average number of requests in progress up to averagedAt.
+	average    float64
+	averagedAt time.Time
+	// refused and admitted count flows.
+	refused, admitted int64
+}
+
+// New returns a Controller that admits everything until Apply has been called.
+func New(fleet Fleet) *Controller { return &Controller{fleet: fleet, pools: map[string]*pool{}} }
+
+// Apply switches the decisions on for the pools in which the configuration calls for
+// them: those with routes of different priorities that have target latencies.
+func (c *Controller) Apply(config *directory.Config) {
+	competing, routes := competingPools(config), map[string]bool{}
+	for i := range config.Routes {
+		routes[config.Routes[i].Name] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name := range c.pools {
+		if !competing[name] {
+			delete(c.pools, name)
+		}
+	}
+	for name := range competing {
+		if c.pools[name] == nil {
+			c.pools[name] = &pool{routes: map[string]*routeState{}, level: initialLevel}
+		}
+	}
+	for _, p := range c.pools {
+		maps.DeleteFunc(p.routes, func(name string, r *routeState) bool { return !routes[name] && r.inProgress == 0 })
+	}
+}
+
+// competingPools returns the pools with routes of different priorities.
+func competingPools(config *directory.Config) map[string]bool {
+	priorities, out := map[string]int{}, map[string]bool{}
+	for i := range config.Routes {
+		r := &config.Routes[i]
+		if r.TargetLatency <= 0 {
+			continue
+		}
+		for _, s := range r.Shares {
+			if known, ok := priorities[s.Pool]; ok && known != r.Priority {
+				out[s.Pool] = true
+			}
+			priorities[s.Pool] = r.Priority
+		}
+	}
+	return out
+}
+
+// Admit decides about a new flow. The caller has to call Begin for an admitted one.
+func (c *Controller) Admit(r Request) Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[r.Pool]
+	if p == nil || r.Route.TargetLatency <= 0 || len(r.Candidates) == 0 {
+		return Decision{}
+	}
+	if r.Now.Sub(p.observedAt) >= observeInterval {
+		p.observe(c.fleet, r.Candidates, r.Now)
+	}
+	limit := p.level * p.share
+	d := Decision{InProgress: p.inProgress, Limit: limit, Occupancy: p.occupancy, Delay: p.delay}
+	route := p.route(r.Route)
+	route.askedAt = r.Now
+	excess := p.callers.ask(r.Caller, r.Now)
+	if r.Now.Before(p.busyUntil) && route.averageAt(r.Now) >= keptShare*limit {
+		d.Share = p.refusedShare(r.Route.Priority, limit, r.Now)
+		if d.Share > 0 {
+			d.Share = 1 - (1-d.Share)/excess
+		}
+		d.Refused = d.Share > 0 && draw(r.Caller, r.Route.Name, r.Now) < d.Share
+	}
+	if d.Refused {
+		p.refused = true
+		route.refused++
+	} else {
+		route.admitted++
+	}
+	return d
+}
+
+// observe updates what the daemon knows of the pool and, once per adjustInterval, the
+// limit.
+func (p *pool) observe(fleet Fleet, candidates []*directory.Server, now time.Time) {
+	p.observedAt = now
+	slots := 0
+	for _, s := range candidates {
+		slots += s.Slots
+	}
+	p.share = max(1, float64(slots)/float64(max(1, fleet.Daemons(now))))
+	o := fleet.Occupancy(candidates, now)
+	p.occupancy = float64(max(o.InProgress, 0)) / float64(max(1, o.Daemons)) / p.share
+	if now.Sub(p.delayAt) > delayTTL {
+		p.delay = 0
+	}
+	busy := busyLevel
+	if now.Before(p.busyUntil) {
+		busy = freeLevel
+	}
+	if p.occupancy >= busy || p.delay >= timelyDelay*busy {
+		p.busyUntil = now.Add(calmTime)
+	}
+	if now.Sub(p.adjustedAt) < adjustInterval {
+		return
+	}
+	switch {
+	case p.delay > lateDelay:
+		p.level = max(minLevel, p.level*levelDecrease)
+	case p.delay < timelyDelay && p.refused:
+		p.level = min(maxLevel, p.level+levelIncrease)
+	}
+	p.refused, p.adjustedAt = false, now
+}
+
+// refusedShare returns the share of the flows of a priority that is refused. Only requests
+// that are at least as urgent count: where flows that are open already bring more than
+// fits, servers reject part of it and callers close such flows, which makes the room that a
+// more urgent route needs.
+func (p *pool) refusedShare(priority int, limit float64, now time.Time) float64 {
+	inProgress := 0
+	for _, r := range p.routes {
+		if r.priority > priority && now.Sub(r.askedAt) < activeTime {
+			limit = urgentLevel * p.share
+		}
+		if r.priority <= priority {
+			inProgress += r.inProgress
+		}
+	}
+	return min(1, max(0, (float64(inProgress)/limit-rampStart)/(rampEnd-rampStart)))
+}
+
+func (p *pool) route(route *directory.Route) *routeState {
+	r := p.routes[route.Name]
+	if r == nil {
+		r = &routeState{}
+		p.routes[route.Name] = r
+	}
+	r.priority = route.Priority
+	return r
+}
+
+// averageAt updates the average and returns it.
+func (r *routeState) averageAt(now time.Time) float64 {
+	if d := now.Sub(r.averagedAt); d > 0 {
+		w := 1.0
+		if !r.averagedAt.IsZero() {
+			w = 1 - math.Exp(-d.Seconds()/averageTime.Seconds())
+		}
+		r.average += w * (float64(r.inProgress) - r.average)
+		r.averagedAt = now
+	}
+	return r.average
+}
--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"knapweedshore.example/internal/admission"
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/events"
 	"knapweedshore.example/internal/metrics"
@@ -34,6 +35,7 @@
 	codec       Codec
 	directories DirectorySource
 	placer      *placement.Placer
+	admission   *admission.Controller
 	metrics     *metrics.Registry
 	log         *events.Logger
 	// flowLifetime is the maximum lifetime of a flow.
@@ -50,6 +52,8 @@
 	Codec       Codec
 	Directories DirectorySource
 	Placer      *placement.Placer
+	// Admission decides whether a new flow is served; nil stands for all.
+	Admission *admission.Controller
 	// FlowLifetime is the maximum lifetime of a flow.
 	FlowLifetime time.Duration
 	Metrics      *metrics.Registry
@@ -58,8 +62,11 @@
 
 // NewEngine returns an Engine without flows.
 func NewEngine(o Options) *Engine {
+	if o.Admission == nil {
+		o.Admission = admission.New(nil)
+	}
 	return &Engine{
-		codec: o.Codec, directories: o.Directories, placer: o.Placer, flowLifetime: o.FlowLifetime, metrics: o.Metrics, log: o.Log,
+		codec: o.Codec, directories: o.Directories, placer: o.Placer, admission: o.Admission, flowLifetime: o.FlowLifetime, metrics: o.Metrics, log: o.Log,
 		flows: map[flowKey]*flow{},
 	}
 }
@@ -179,6 +186,9 @@
 	}
 	pool := route.Pool(uint64(p.Caller.Port()))
 	candidates := d.Candidates(pool)
+	if f == nil && !e.admit(route, pool, candidates, p, now) {
+		return nil, &refusal{metrics.NoRoom, true}
+	}
 	server, ticket := e.placer.Choose(placement.Request{Route: route, Candidates: candidates, Avoid: avoid, Now: now})
 	if server == nil {
 		e.logRefusal(d, p, metrics.NoUsableServer, now)
@@ -205,9 +215,25 @@
 	}
 	f.moveTo(server)
 	f.route, f.ticket, f.lastSeen, f.placedAt = route, ticket, now, now
+	e.admission.Begin(&f.demand, route, pool, now)
 	return server, nil
 }
 
+// admit reports whether to serve a new flow. A copy of an opening packet is always served,
+// since a server may have accepted the original.
+func (e *Engine) admit(route *directory.Route, pool string, candidates []*directory.Server, p Packet, now time.Time) bool {
+	if p.Retransmits > 0 {
+		return true
+	}
+	d := e.admission.Admit(admission.Request{Route: route, Pool: pool, Candidates: candidates, Caller: p.Caller.Addr(), Now: now})
+	if d.Refused {
+		e.log.Log(events.FlowNotAdmitted, zap.Stringer("caller", p.Caller), zap.Stringer("service", p.Service), zap.String("route", route.Name),
+			zap.String("pool", pool), zap.Int("priority", route.Priority), zap.Int("in_progress", d.InProgress), zap.Float64("limit", d.Limit),
+			zap.Float64("occupancy", d.Occupancy), zap.Float64("delay", d.Delay), zap.Float64("share", d.Share))
+	}
+	return !d.Refused
+}
+
 // addFlow adds a record for a flow. It returns nil if the flow table is full.
 func (e *Engine) addFlow(key flowKey, now time.Time) *flow {
 	if len(e.flows) >= maxFlows {
@@ -349,12 +375,16 @@
 		return
 	}
 	s := f.progress.observe(p, now)
+	if s.answered {
+		e.admission.End(&f.demand, now)
+	}
 	if s.answered && f.ticket != nil {
 		e.metrics.Observe(metrics.RequestAnswered, s.took)
 		e.placer.Done(f.ticket, now)
 		f.ticket = nil
 	}
 	if s.requested {
+		e.admission.Begin(&f.demand, f.route, f.server.Pool, now)
 		if f.ticket == nil {
 			f.ticket = e.placer.Resume(f.server, f.route, now)
 		}
@@ -380,7 +410,7 @@
 				zap.Duration("silent_for", now.Sub(f.lastSeen)))
 		}
 		if overdue && !f.contested || f.ticket == nil && f.expired(now, e.flowLifetime, idleTimeout) {
-			delete(e.flows, key)
+			e.forget(key, f)
 		}
 	}
 }
@@ -409,6 +439,7 @@
 		e.placer.Abandon(f.ticket)
 		f.ticket = nil
 	}
+	e.admission.Abandon(&f.demand)
 }
 
 // FlowCount returns the number of flows in the flow table.
--- a/internal/cookie/flows.go
+++ b/internal/cookie/flows.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"knapweedshore.example/internal/admission"
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/placement"
 )
@@ -19,6 +20,7 @@
 	server *directory.Server
 	route  *directory.Route
 	ticket *placement.Ticket
+	demand admission.Demand
 	// established is set by the first packet after the opening one, whose cookie
 	// identifies the server that holds the flow.
 	established bool
--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -38,7 +38,8 @@
 var DefaultRetention = RetentionFor(3*time.Second, time.Minute)
 
 // Change is a decoded item of a registry. It sets one of Config, Server, Deleted,
-// Invalid, VM, DeletedVM and Problem; Problem is also set along with Invalid.
+// Invalid, VM, DeletedVM and Problem; Problem is also set along with Invalid,
+// and along with a Config of which a value had to be limited.
 type Change struct {
 	Revision uint64
 	// ReadAt is when a daemon read the item from the store. Zero stands for the
@@ -177,6 +178,9 @@
 			return ReasonOldVersion
 		}
 		b.setConfig(c.Config, receivedAt)
+		if c.Problem != nil {
+			return c.Problem.Error()
+		}
 	case c.Server != nil:
 		return b.register(c.Server)
 	case c.Deleted != "":
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -81,8 +81,13 @@
 	Timeout time.Duration
 	// TargetLatency is the latency that responses should stay within.
 	TargetLatency time.Duration
+	// Priority is the urgency of the requests, from 0, the most urgent, to LeastPriority.
+	Priority int
 }
 
+// LeastPriority is the priority of the least urgent routes.
+const LeastPriority = 1000
+
 // Pool returns the pool for a new flow. draw selects it by weight and should be
 // uniformly distributed.
 func (r *Route) Pool(draw uint64) string {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -80,6 +80,7 @@
 	ServerRecovered = Event{Number: 434, Level: infoLevel, Message: "server accepts flows again", Action: "none", PerSecond: serverLinesPerSecond}
 	ZoneUnreachable = Event{Number: 435, Level: warnLevel, Message: "zone is not reachable", Action: "check the network between the zones"}
 	ZoneReachable   = Event{Number: 436, Level: infoLevel, Message: "zone is reachable again", Action: "none"}
+	FlowNotAdmitted = Event{Number: 450, Level: infoLevel, Message: "flow refused: too little room in its pool", Action: "add servers if it lasts", PerSecond: flowLinesPerSecond}
 	CookieCorrected = Event{Number: 437, Level: infoLevel, Message: "second server that accepted a flow was told the cookie of the flow's server", Action: "none", PerSecond: flowLinesPerSecond}
 )
 
@@ -92,6 +93,6 @@
 		TablesApplied, TablesRegressed, TablesInvalid, TablesUnconfirmed, FetchFailed, StoreDown, StoreRecovered,
 		DirectoryApplied, ItemRefused, StoreWatchChanged, RegistrationFailed, DirectoryFromPeer, StoreListed, StoreRestored,
 		ServerEjected, ServerReinstated, EjectionRefused, SilentFlow, FlowTableFull, NewFlowLimited, BackupChanged,
-		FlowPlaced, FlowRefused, FlowUnanswered, ServerSuspected, ServerRecovered, ZoneUnreachable, ZoneReachable, CookieCorrected,
+		FlowPlaced, FlowRefused, FlowUnanswered, ServerSuspected, ServerRecovered, ZoneUnreachable, ZoneReachable, CookieCorrected, FlowNotAdmitted,
 	}
 }
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -33,6 +33,7 @@
 	NoCookie          Reason = "no_cookie"
 	UnknownCookie     Reason = "unknown_cookie"
 	StalePacket       Reason = "stale_packet"
+	NoRoom            Reason = "no_room"
 )
 
 var refusalReasons = []Reason{
@@ -41,7 +42,7 @@
 	FlowTableFull, NewFlowRate, NoStanding, NoOwner, NoTables, ResetUnconfirmed,
 	ICMPUnknownFlow, StaleTables, PeerNotMember, PeerRefused, LinkQueueFull, ExceptionBudget,
 	ExceptionStale, TablesRegressed, StoreBudget, SendFailed,
-	SilentFlow, NoCookie, UnknownCookie, StalePacket,
+	SilentFlow, NoCookie, UnknownCookie, StalePacket, NoRoom,
 }
 
 // Reasons for retrying a call.
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -13,6 +13,9 @@
 	// ownAnswerTTL is how long an answer that this daemon got from a server
 	// overrides the suspicions of peers, whose own network may be broken.
 	ownAnswerTTL = time.Second
+	// occupancyTTL is how long the last report of a peer counts in Occupancy. A flood grows
+	// within a few of the times that a request takes.
+	occupancyTTL = 200 * time.Millisecond
 )
 
 // Load is the view of the backend servers that a daemon reports to its peers.
@@ -83,3 +86,31 @@
 	}
 	return l
 }
+
+// Occupancy returns the number of requests in progress on servers that this daemon and the
+// peers with a recent report have placed, and the number of these daemons. Reports of a
+// large fleet come too rarely for a sum over all daemons, but the recent ones are a sample.
+func (p *Placer) Occupancy(servers []*directory.Server, now time.Time) (inProgress, daemons int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counted := make(map[directory.Cookie]bool, len(servers))
+	for _, s := range servers {
+		counted[s.Cookie] = true
+		if rec := p.servers[s.Cookie]; rec != nil {
+			inProgress += rec.inProgress
+		}
+	}
+	daemons = 1
+	for _, l := range p.peers {
+		if now.Sub(l.receivedAt) > occupancyTTL {
+			continue
+		}
+		daemons++
+		for c, n := range l.InProgress {
+			if counted[c] {
+				inProgress += n
+			}
+		}
+	}
+	return inProgress, daemons
+}
