Let urgent flows in as long as servers take them

Change: the limit of the urgent routes is beyond the queues of the servers; refusals of the least urgent routes begin earlier.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -32,10 +32,10 @@
 	// freeLevel that below which they no longer do.
 	busyLevel, freeLevel = 2.0, 1.5
 	// urgentLevel is the limit for all but the least urgent routes.
-	urgentLevel = 4.0
+	urgentLevel = 8.0
 	// rampStart and rampEnd are where refusals begin and where all flows are refused, as
 	// multiples of the limit.
-	rampStart, rampEnd = 0.75, 1.25
+	rampStart, rampEnd = 0.6, 1.1
 	// keptShare is the share of the limit that every route keeps, however many more
 	// urgent requests there are.
 	keptShare = 0.05
