--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -12,6 +12,7 @@
 import (
 	"maps"
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -25,12 +26,12 @@
 	// initialLevel, minLevel and maxLevel bound the limit. Below one request per slot,
 	// slots are idle; at maxLevel, a slot has hardly ever nothing to do, and more requests
 	// only wait.
-	initialLevel, minLevel, maxLevel = 3, 0.75, 3
+	initialLevel, minLevel, maxLevel = 4.0, 0.75, 4.5
 	// levelIncrease is added and levelDecrease multiplied once per adjustInterval.
-	levelIncrease, levelDecrease = 0.1, 0.9
+	levelIncrease, levelDecrease = 0.1, 0.8
 	// busyLevel is the occupancy of the pool from which on its servers count as busy, and
-	// freeLevel that below which they no longer do.
-	busyLevel, freeLevel = 2.0, 1.5
+	// freeLevel that below which they no longer do. Below fullLevel, slots are free.
+	busyLevel, freeLevel, fullLevel = 3.0, 2.5, 1.0
 	// urgentLevel is the limit for all but the least urgent routes.
 	urgentLevel = 8.0
 	// rampStart and rampEnd are where refusals begin and where all flows are refused, as
@@ -46,9 +47,9 @@
 const (
 	// timelyDelay is the average below which the limit may grow, lateDelay that above which
 	// it shrinks.
-	timelyDelay, lateDelay = 0.25, 1.0 / 3
+	timelyDelay, lateDelay = 0.25, 1.0/3
 	// delayGain is the weight of one answer in the average.
-	delayGain = 0.05
+	delayGain = 0.15
 )
 
 const (
@@ -68,18 +69,20 @@
 )
 
 // Occupancy is what a daemon and the peers that it has heard recently have in progress
-// at a pool.
+// at the servers of a pool that answer.
 type Occupancy struct {
 	// InProgress is the number of requests, and Daemons that of the daemons that have
 	// placed them, this one included.
 	InProgress, Daemons int
+	// Slots is the number of slots of these servers.
+	Slots int
 }
 
 // Fleet is what a Controller has to know of the other daemons and the servers.
 type Fleet interface {
 	// Daemons returns the number of daemons that take flows, this one included.
 	Daemons(now time.Time) int
-	// Occupancy returns the requests in progress at servers.
+	// Occupancy returns the requests in progress at those of the servers that answer.
 	Occupancy(servers []*directory.Server, now time.Time) Occupancy
 }
 
@@ -112,15 +115,15 @@
 type Controller struct {
 	fleet Fleet
 
-	mu    sync.Mutex
-	pools map[string]*pool
+	mu     sync.Mutex
+	random *rand.Rand
+	pools  map[string]*pool
 }
 
 // pool is the state of one pool in which routes compete.
 type pool struct {
-	routes     map[string]*routeState // by name
-	inProgress int
-	level      float64
+	routes map[string]*routeState // by name
+	level  float64
 	// share is the daemon's share of the slots, and occupancy the pool's requests in
 	// progress per slot, both as of observedAt.
 	share, occupancy       float64
@@ -137,9 +140,10 @@
 // routeState is the state of a route in one pool.
 type routeState struct {
 	priority int
+	target   time.Duration
 	// askedAt is when the last new flow came.
-	askedAt    time.Time
-	inProgress int
+	askedAt  time.Time
+	requests recent
 	// average is the average number of requests in progress up to averagedAt.
 	average    float64
 	averagedAt time.Time
@@ -147,8 +151,11 @@
 	refused, admitted int64
 }
 
-// New returns a Controller that admits everything until Apply has been called.
-func New(fleet Fleet) *Controller { return &Controller{fleet: fleet, pools: map[string]*pool{}} }
+// New returns a Controller that admits everything until Apply has been called. The seed must
+// differ between daemons, so that they do not refuse in step.
+func New(fleet Fleet, seed uint64) *Controller {
+	return &Controller{fleet: fleet, random: rand.New(rand.NewPCG(seed, 0)), pools: map[string]*pool{}}
+}
 
 // Apply switches the decisions on for the pools in which the configuration calls for
 // them: those with routes of different priorities that have target latencies.
@@ -170,7 +177,7 @@
 		}
 	}
 	for _, p := range c.pools {
-		maps.DeleteFunc(p.routes, func(name string, r *routeState) bool { return !routes[name] && r.inProgress == 0 })
+		maps.DeleteFunc(p.routes, func(name string, r *routeState) bool { return !routes[name] })
 	}
 }
 
@@ -204,7 +211,7 @@
 		p.observe(c.fleet, r.Candidates, r.Now)
 	}
 	limit := p.level * p.share
-	d := Decision{InProgress: p.inProgress, Limit: limit, Occupancy: p.occupancy, Delay: p.delay}
+	d := Decision{InProgress: p.inProgress(math.MaxInt, r.Now), Limit: limit, Occupancy: p.occupancy, Delay: p.delay}
 	route := p.route(r.Route)
 	route.askedAt = r.Now
 	excess := p.callers.ask(r.Caller, r.Now)
@@ -213,7 +220,7 @@
 		if d.Share > 0 {
 			d.Share = 1 - (1-d.Share)/excess
 		}
-		d.Refused = d.Share > 0 && draw(r.Caller, r.Route.Name, r.Now) < d.Share
+		d.Refused = d.Share > 0 && c.random.Float64() < d.Share
 	}
 	if d.Refused {
 		p.refused = true
@@ -228,21 +235,17 @@
 // limit.
 func (p *pool) observe(fleet Fleet, candidates []*directory.Server, now time.Time) {
 	p.observedAt = now
-	slots := 0
-	for _, s := range candidates {
-		slots += s.Slots
-	}
-	p.share = max(1, float64(slots)/float64(max(1, fleet.Daemons(now))))
 	o := fleet.Occupancy(candidates, now)
+	p.share = max(1, float64(o.Slots)/float64(max(1, fleet.Daemons(now))))
 	p.occupancy = float64(max(o.InProgress, 0)) / float64(max(1, o.Daemons)) / p.share
 	if now.Sub(p.delayAt) > delayTTL {
 		p.delay = 0
 	}
-	busy := busyLevel
+	busy, late := busyLevel, 1.0
 	if now.Before(p.busyUntil) {
-		busy = freeLevel
+		busy, late = freeLevel, lateDelay
 	}
-	if p.occupancy >= busy || p.delay >= timelyDelay*busy {
+	if p.occupancy >= busy || p.occupancy >= fullLevel && p.delay >= late {
 		p.busyUntil = now.Add(calmTime)
 	}
 	if now.Sub(p.adjustedAt) < adjustInterval {
@@ -262,16 +265,25 @@
 // fits, servers reject part of it and callers close such flows, which makes the room that a
 // more urgent route needs.
 func (p *pool) refusedShare(priority int, limit float64, now time.Time) float64 {
-	inProgress := 0
 	for _, r := range p.routes {
 		if r.priority > priority && now.Sub(r.askedAt) < activeTime {
 			limit = urgentLevel * p.share
 		}
+	}
+	filled := float64(p.inProgress(priority, now)) / limit
+	return min(1, max(0, (filled-rampStart)/(rampEnd-rampStart)))
+}
+
+// inProgress returns the number of recent requests in progress of routes that are at least
+// as urgent as a priority.
+func (p *pool) inProgress(priority int, now time.Time) int {
+	n := 0
+	for _, r := range p.routes {
 		if r.priority <= priority {
-			inProgress += r.inProgress
+			n += r.requests.total(now, r.target)
 		}
 	}
-	return min(1, max(0, (float64(inProgress)/limit-rampStart)/(rampEnd-rampStart)))
+	return n
 }
 
 func (p *pool) route(route *directory.Route) *routeState {
@@ -280,7 +292,7 @@
 		r = &routeState{}
 		p.routes[route.Name] = r
 	}
-	r.priority = route.Priority
+	r.priority, r.target = route.Priority, route.TargetLatency
 	return r
 }
 
@@ -291,7 +303,7 @@
 		if !r.averagedAt.IsZero() {
 			w = 1 - math.Exp(-d.Seconds()/averageTime.Seconds())
 		}
-		r.average += w * (float64(r.inProgress) - r.average)
+		r.average += w * (float64(r.requests.total(now, r.target)) - r.average)
 		r.averagedAt = now
 	}
 	return r.average
--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -26,10 +26,9 @@
 		return
 	}
 	*d = Demand{route: route, pool: poolName, begunAt: now}
-	p.inProgress++
 	r := p.route(route)
 	r.averageAt(now)
-	r.inProgress++
+	r.requests.add(1, now, r.target)
 }
 
 // Abandon records that the request in progress, if there is one, gets no answer.
@@ -53,13 +52,13 @@
 
 // end ends the request in progress and returns its pool, or nil. c.mu must be held.
 func (c *Controller) end(d *Demand) *pool {
-	route, p := d.route, c.pools[d.pool]
+	ended, p := *d, c.pools[d.pool]
 	*d = Demand{}
-	if route == nil || p == nil {
+	if ended.route == nil || p == nil {
 		return nil
 	}
-	p.inProgress = max(0, p.inProgress-1)
-	r := p.route(route)
-	r.inProgress = max(0, r.inProgress-1)
+	if r := p.routes[ended.route.Name]; r != nil {
+		r.requests.add(-1, ended.begunAt, r.target)
+	}
 	return p
 }
--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,6 +23,8 @@
 	skew float64
 	// lostAt is when a third of the servers is lost; zero if none is.
 	lostAt time.Duration
+	// target replaces the target latency of both routes unless it is zero.
+	target time.Duration
 	// urgentKeepsFlows is set if the urgent route's flows are long, too.
 	urgentKeepsFlows bool
 }
@@ -132,6 +135,7 @@
 	known      []*loadServer // servers that take new flows
 	gates      []gate
 	users      [2][]*user
+	routes     []directory.Route
 	out        [2]tally
 	// byCaller counts the answered requests of the first route.
 	byCaller map[netip.Addr]int
@@ -146,6 +150,12 @@
 // play runs the load with one gate per daemon.
 func (l load) play(seed uint64, newGate func(s *simulation, daemon int) gate) *simulation {
 	s := &simulation{load: l, random: rand.New(rand.NewPCG(seed, 2)), byCaller: map[netip.Addr]int{}}
+	s.routes = slices.Clone(loadRoutes)
+	for i := range s.routes {
+		if l.target > 0 {
+			s.routes[i].TargetLatency = l.target
+		}
+	}
 	s.servers = make([]loadServer, l.servers)
 	for i := range s.servers {
 		s.servers[i].speed = loadSpeeds[i%len(loadSpeeds)]
@@ -221,7 +231,7 @@
 	f := u.flow
 	if !long || f == nil || f.busy || f.server.lost {
 		server := s.choose(now)
-		r := Request{Route: &loadRoutes[route], Pool: "p", Candidates: s.candidates, Caller: u.caller, Now: loadEpoch.Add(now)}
+		r := Request{Route: &s.routes[route], Pool: "p", Candidates: s.candidates, Caller: u.caller, Now: loadEpoch.Add(now)}
 		if !g.admit(r, server) {
 			s.out[route].refused++
 			retry(now + networkDelay)
@@ -232,7 +242,7 @@
 			u.flow = f
 		}
 	}
-	g.begin(&f.demand, &loadRoutes[route], loadEpoch.Add(now))
+	g.begin(&f.demand, &s.routes[route], loadEpoch.Add(now))
 	f.busy = true
 	server := f.server
 	done := func(now time.Duration, answered bool) {
@@ -273,7 +283,7 @@
 		return
 	}
 	t := &s.out[route]
-	if now-asked <= loadRoutes[route].TargetLatency {
+	if now-asked <= s.routes[route].TargetLatency {
 		t.timely++
 		t.worth++
 	} else {
@@ -340,8 +350,8 @@
 
 func newControllerGate(s *simulation, daemon int) gate {
 	g := &controllerGate{s: s, daemon: daemon}
-	g.Controller = New(g)
-	g.Apply(&directory.Config{Routes: loadRoutes})
+	g.Controller = New(g, uint64(daemon))
+	g.Apply(&directory.Config{Routes: s.routes})
 	return g
 }
 
@@ -362,16 +372,17 @@
 func (g *controllerGate) Daemons(time.Time) int { return g.s.daemons }
 
 // Occupancy implements Fleet.
-func (g *controllerGate) Occupancy(_ []*directory.Server, now time.Time) Occupancy {
+func (g *controllerGate) Occupancy(servers []*directory.Server, now time.Time) Occupancy {
 	if now.Sub(g.heardAt) >= gossipInterval {
 		g.heardAt, g.heard = now, Occupancy{}
 		for range min(gossipPeers, g.s.daemons-1) {
 			other := g.s.gates[g.s.random.IntN(g.s.daemons)].(*controllerGate)
-			g.heard.InProgress += other.pools["p"].inProgress
+			g.heard.InProgress += other.pools["p"].inProgress(math.MaxInt, now)
 			g.heard.Daemons++
 		}
 	}
-	return Occupancy{g.heard.InProgress + g.pools["p"].inProgress, g.heard.Daemons + 1}
+	own := g.pools["p"].inProgress(math.MaxInt, now)
+	return Occupancy{InProgress: g.heard.InProgress + own, Daemons: g.heard.Daemons + 1, Slots: loadSlots * len(servers)}
 }
 
 // openGate never refuses.
@@ -457,11 +468,16 @@
 	"8 daemons, twice the load":          {daemons: 8, servers: 16, perSecond: 195, times: 2},
 	"8 daemons, 8 times the load":        {daemons: 8, servers: 16, perSecond: 195, times: 8},
 	"62 daemons, 3.5 times the load":     {daemons: 62, servers: 120, perSecond: 1463, times: 3.5},
+	"62 daemons, 4.5 times the load":     {daemons: 62, servers: 120, perSecond: 1463, times: 4.5},
+	"109 daemons, 4.5 times the load":    {daemons: 109, servers: 120, perSecond: 1463, times: 4.5, urgentKeepsFlows: true},
 	"62 daemons, 6 times the load":       {daemons: 62, servers: 120, perSecond: 1463, times: 6},
 	"62 daemons, 8 times the load":       {daemons: 62, servers: 120, perSecond: 1463, times: 8},
 	"62 daemons, 10 times the load":      {daemons: 62, servers: 120, perSecond: 1463, times: 10},
 	"109 daemons, 8 times the load":      {daemons: 109, servers: 120, perSecond: 1463, times: 8},
 	"109 daemons, urgent flows are long": {daemons: 109, servers: 120, perSecond: 1463, times: 8, urgentKeepsFlows: true},
+	"long target, 3.5 times the load":    {daemons: 109, servers: 120, perSecond: 1463, times: 3.5, target: 500 * time.Millisecond, urgentKeepsFlows: true},
+	"long target, 4.5 times the load":    {daemons: 109, servers: 120, perSecond: 1463, times: 4.5, target: 500 * time.Millisecond, urgentKeepsFlows: true},
+	"long target, 8 times the load":      {daemons: 109, servers: 120, perSecond: 1463, times: 8, target: 500 * time.Millisecond, urgentKeepsFlows: true},
 	"uneven zones":                       {daemons: 62, servers: 120, perSecond: 1463, times: 6, skew: 2},
 	"a third of the servers is lost":     {daemons: 62, servers: 120, perSecond: 1463, times: 4, lostAt: 4 * time.Second},
 }
--- a/internal/admission/status.go
+++ b/internal/admission/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -41,11 +42,12 @@
 	for name, p := range c.pools {
 		limit := p.level * p.share
 		s := PoolStatus{
-			Pool: name, Refusing: now.Before(p.busyUntil), InProgress: p.inProgress, Limit: limit,
-			Room: max(0, limit-float64(p.inProgress)), Occupancy: p.occupancy, Delay: p.delay,
+			Pool: name, Refusing: now.Before(p.busyUntil), InProgress: p.inProgress(math.MaxInt, now), Limit: limit,
+			Occupancy: p.occupancy, Delay: p.delay,
 		}
+		s.Room = max(0, limit-float64(s.InProgress))
 		for route, r := range p.routes {
-			s.Routes = append(s.Routes, RouteStatus{Route: route, Priority: r.priority, InProgress: r.inProgress, Admitted: r.admitted, Refused: r.refused})
+			s.Routes = append(s.Routes, RouteStatus{Route: route, Priority: r.priority, InProgress: r.requests.total(now, r.target), Admitted: r.admitted, Refused: r.refused})
 		}
 		slices.SortFunc(s.Routes, func(a, b RouteStatus) int { return cmp.Compare(a.Route, b.Route) })
 		out = append(out, s)
--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -63,7 +63,7 @@
 // NewEngine returns an Engine without flows.
 func NewEngine(o Options) *Engine {
 	if o.Admission == nil {
-		o.Admission = admission.New(nil)
+		o.Admission = admission.New(nil, 0)
 	}
 	return &Engine{
 		codec: o.Codec, directories: o.Directories, placer: o.Placer, admission: o.Admission, flowLifetime: o.FlowLifetime, metrics: o.Metrics, log: o.Log,
--- a/internal/directory/builder_test.go
+++ b/internal/directory/builder_test.go
@@ -214,3 +214,13 @@
 	b.Apply([]Change{{Deleted: "i-3"}}, Position{Revision: 12}, back)
 	is.Equal(names(b.Build().Candidates("p")), []string{"i-2", "i-4"})
 }
+
+// Guards against refusing a configuration of which one value had to be limited, and against
+// not reporting that value.
+func TestConfigurationWithALimitedValueIsApplied(t *testing.T) {
+	is := is.New(t)
+	b := NewBuilder()
+	refused := b.Apply([]Change{{Config: &Config{Version: 3}, Problem: errors.New("priority is limited")}}, Position{}, time.Unix(1, 0))
+	is.Equal(refused, []Refusal{{Subject: "config", Reason: "priority is limited"}})
+	is.Equal(b.Build().Config.Version, uint64(3))
+}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -98,7 +98,7 @@
 		Keep:     directory.RetentionFor(o.Settings.DrainTime, o.Settings.FlowLifetime),
 		Prefetch: func(ctx context.Context) bool { return d.exchange.Prefetch(ctx) },
 	})
-	d.admission = admission.New(fleet{d})
+	d.admission = admission.New(fleet{d}, rand.Uint64())
 	d.engine = cookie.NewEngine(cookie.Options{
 		Codec: o.Codec, Directories: d.follower, Placer: d.placer, Admission: d.admission, FlowLifetime: o.Settings.FlowLifetime, Metrics: o.Metrics, Log: o.Log,
 	})
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -20,6 +20,6 @@
 
 // Occupancy implements admission.Fleet.
 func (f fleet) Occupancy(servers []*directory.Server, now time.Time) admission.Occupancy {
-	inProgress, daemons := f.daemon.placer.Occupancy(servers, now)
-	return admission.Occupancy{InProgress: inProgress, Daemons: daemons}
+	o := f.daemon.placer.Occupancy(servers, now)
+	return admission.Occupancy{InProgress: o.InProgress, Daemons: o.Daemons, Slots: o.Slots}
 }
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -87,30 +87,40 @@
 	return l
 }
 
-// Occupancy returns the number of requests in progress on servers that this daemon and the
-// peers with a recent report have placed, and the number of these daemons. Reports of a
-// large fleet come too rarely for a sum over all daemons, but the recent ones are a sample.
-func (p *Placer) Occupancy(servers []*directory.Server, now time.Time) (inProgress, daemons int) {
+// Occupancy is the load of servers that answer.
+type Occupancy struct {
+	// InProgress is the number of requests that Daemons daemons have placed, and Slots that
+	// of the servers' slots.
+	InProgress, Daemons, Slots int
+}
+
+// Occupancy returns the load of the servers that are not avoided, from this daemon and the
+// peers with a recent report. Reports of a large fleet come too rarely for a sum over all
+// daemons, but the recent ones are a sample.
+func (p *Placer) Occupancy(servers []*directory.Server, now time.Time) Occupancy {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	o := Occupancy{Daemons: 1}
 	counted := make(map[directory.Cookie]bool, len(servers))
 	for _, s := range servers {
-		counted[s.Cookie] = true
-		if rec := p.servers[s.Cookie]; rec != nil {
-			inProgress += rec.inProgress
+		rec := p.state(s.Cookie)
+		if p.serverAvoided(s.Cookie, rec, now) || s.Zone != p.zone && p.zoneAvoided(s.Zone, now) {
+			continue
 		}
+		counted[s.Cookie] = true
+		o.InProgress += rec.inProgress
+		o.Slots += s.Slots
 	}
-	daemons = 1
 	for _, l := range p.peers {
 		if now.Sub(l.receivedAt) > occupancyTTL {
 			continue
 		}
-		daemons++
+		o.Daemons++
 		for c, n := range l.InProgress {
 			if counted[c] {
-				inProgress += n
+				o.InProgress += n
 			}
 		}
 	}
-	return inProgress, daemons
+	return o
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -193,3 +193,22 @@
 	p.SetPeerLoad("peer", Load{}, epoch)
 	is.Equal(openFlow(epoch.Add(ownAnswerTTL+2*time.Millisecond)), "near")
 }
+
+// Guards against an occupancy that counts requests at servers that do not answer, requests at
+// other pools, or reports that are too old to show a flood.
+func TestOccupancy(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	p := New("a", 1)
+	pool := []*directory.Server{{Cookie: 1, Zone: "a", Slots: 2}, {Cookie: 2, Zone: "a", Slots: 2}, {Cookie: 3, Zone: "b", Slots: 2}}
+	p.SetPeerLoad("x", Load{InProgress: map[directory.Cookie]int{1: 3, 2: 4, 3: 5, 9: 100}}, now)
+	is.Equal(p.Occupancy(pool, now), Occupancy{InProgress: 12, Daemons: 2, Slots: 6})
+	p.Resume(pool[0], &directory.Route{Name: "r"}, now)
+	is.Equal(p.Occupancy(pool, now), Occupancy{InProgress: 13, Daemons: 2, Slots: 6})
+	p.SetPeerLoad("y", Load{Suspected: []directory.Cookie{2}}, now)
+	is.Equal(p.Occupancy(pool, now), Occupancy{InProgress: 9, Daemons: 3, Slots: 4})
+	p.SetUnreachableFunc(func(zone string, _ time.Time) bool { return zone == "b" })
+	is.Equal(p.Occupancy(pool, now), Occupancy{InProgress: 4, Daemons: 3, Slots: 2})
+	now = now.Add(occupancyTTL + time.Millisecond)
+	is.Equal(p.Occupancy(pool, now), Occupancy{InProgress: 1, Daemons: 1, Slots: 2})
+}
