Refuse only from twice the capacity on

Cause: the occupancy hardly tells a busy time that queues and further tries bridge from a flood. Change: the work asked for is measured against the room, with service times learned while slots are free; refusals begin at twice the room.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -28,15 +28,19 @@
 	// only wait.
 	initialLevel, minLevel, maxLevel = 4.0, 0.75, 4.5
 	// levelIncrease is added and levelDecrease multiplied once per adjustInterval.
-	levelIncrease, levelDecrease = 0.1, 0.8
+	levelIncrease, levelDecrease = 0.1, 0.7
 	// busyLevel is the occupancy of the pool from which on its servers count as busy, and
 	// freeLevel that below which they no longer do. Below fullLevel, slots are free.
 	busyLevel, freeLevel, fullLevel = 3.0, 2.5, 1.0
+	// overload is the work asked for, as a multiple of what the servers can do, from which on
+	// flows are refused. Below it, the queues and the callers' further tries bridge a busy time:
+	// servers reject less than half of the tries.
+	overload = 2.0
 	// urgentLevel is the limit for all but the least urgent routes.
 	urgentLevel = 8.0
 	// rampStart and rampEnd are where refusals begin and where all flows are refused, as
 	// multiples of the limit.
-	rampStart, rampEnd = 0.6, 1.1
+	rampStart, rampEnd = 0.55, 1.05
 	// keptShare is the share of the limit that every route keeps, however many more
 	// urgent requests there are.
 	keptShare = 0.05
@@ -47,7 +51,9 @@
 const (
 	// timelyDelay is the average below which the limit may grow, lateDelay that above which
 	// it shrinks.
-	timelyDelay, lateDelay = 0.25, 1.0/3
+	timelyDelay, lateDelay = 0.25, 1.0 / 3
+	// tooLate is the average from which on many answers are late.
+	tooLate = 2.0 / 3
 	// delayGain is the weight of one answer in the average.
 	delayGain = 0.15
 )
@@ -61,6 +67,8 @@
 	calmTime = 300 * time.Millisecond
 	// delayTTL is how long the average delay is used without a new answer.
 	delayTTL = time.Second
+	// askedTime is the time constant of the work asked for.
+	askedTime = 300 * time.Millisecond
 	// activeTime is how long a route counts as asked for after its last new flow. Many routes
 	// of a configuration have no traffic.
 	activeTime = 10 * time.Second
@@ -132,6 +140,8 @@
 	refused bool
 	delay   float64
 	delayAt time.Time
+	// asked is the work asked for, in seconds per second.
+	asked work
 	// busyUntil is the end of calmTime after the servers were last busy.
 	busyUntil time.Time
 	callers   callers
@@ -141,6 +151,9 @@
 type routeState struct {
 	priority int
 	target   time.Duration
+	// serviceTime is the average time of an answer while slots are free, in seconds; zero
+	// before the first answer.
+	serviceTime float64
 	// askedAt is when the last new flow came.
 	askedAt  time.Time
 	requests recent
@@ -214,6 +227,7 @@
 	d := Decision{InProgress: p.inProgress(math.MaxInt, r.Now), Limit: limit, Occupancy: p.occupancy, Delay: p.delay}
 	route := p.route(r.Route)
 	route.askedAt = r.Now
+	p.asked.add(route.serviceTime, r.Now)
 	excess := p.callers.ask(r.Caller, r.Now)
 	if r.Now.Before(p.busyUntil) && route.averageAt(r.Now) >= keptShare*limit {
 		d.Share = p.refusedShare(r.Route.Priority, limit, r.Now)
@@ -241,11 +255,10 @@
 	if now.Sub(p.delayAt) > delayTTL {
 		p.delay = 0
 	}
-	busy, late := busyLevel, 1.0
-	if now.Before(p.busyUntil) {
-		busy, late = freeLevel, lateDelay
-	}
-	if p.occupancy >= busy || p.occupancy >= fullLevel && p.delay >= late {
+	switch {
+	case now.Before(p.busyUntil) && p.occupancy >= freeLevel,
+		p.occupancy >= busyLevel && p.asked.rate(now)/p.share >= overload,
+		p.occupancy >= fullLevel && p.delay >= tooLate:
 		p.busyUntil = now.Add(calmTime)
 	}
 	if now.Sub(p.adjustedAt) < adjustInterval {
--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -27,6 +27,9 @@
 	}
 	*d = Demand{route: route, pool: poolName, begunAt: now}
 	r := p.route(route)
+	if r.askedAt != now { // a further request of an open flow
+		p.asked.add(r.serviceTime, now)
+	}
 	r.averageAt(now)
 	r.requests.add(1, now, r.target)
 }
@@ -46,6 +49,9 @@
 	if p := c.end(d); p != nil {
 		sample := min(maxDelay, now.Sub(begunAt).Seconds()/route.TargetLatency.Seconds())
 		p.delay += delayGain * (sample - p.delay)
+		if r := p.route(route); p.occupancy < fullLevel || r.serviceTime == 0 {
+			r.learn(now.Sub(begunAt).Seconds())
+		}
 		p.delayAt = now
 	}
 }
