--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -5,8 +5,8 @@
 //
 // Each daemon decides alone. It bounds the requests that it has in progress at a pool
 // by a limit that follows the latency of its own answers, and gives the room under the
-// limit to the more urgent routes first. It refuses nothing unless there is evidence
-// that the servers are busy.
+// limit to the more urgent routes first. It refuses nothing unless the servers are busy and
+// are asked for much more than they can do.
 package admission
 
 import (
@@ -53,7 +53,7 @@
 	// it shrinks.
 	timelyDelay, lateDelay = 0.25, 1.0 / 3
 	// tooLate is the average from which on many answers are late.
-	tooLate = 2.0 / 3
+	tooLate = 0.5
 	// delayGain is the weight of one answer in the average.
 	delayGain = 0.15
 )
@@ -113,6 +113,9 @@
 	Limit      float64
 	// Occupancy is the estimated number of requests in progress per slot of the pool.
 	Occupancy float64
+	// Asked is the work asked for here, as a multiple of what the daemon's share of the slots
+	// can do.
+	Asked float64
 	// Delay is the average latency of recent answers as a share of their targets.
 	Delay float64
 	// Share is the share of such flows that is refused.
@@ -224,7 +227,7 @@
 		p.observe(c.fleet, r.Candidates, r.Now)
 	}
 	limit := p.level * p.share
-	d := Decision{InProgress: p.inProgress(math.MaxInt, r.Now), Limit: limit, Occupancy: p.occupancy, Delay: p.delay}
+	d := Decision{InProgress: p.inProgress(math.MaxInt, r.Now), Limit: limit, Occupancy: p.occupancy, Asked: p.asked.rate(r.Now) / p.share, Delay: p.delay}
 	route := p.route(r.Route)
 	route.askedAt = r.Now
 	p.asked.add(route.serviceTime, r.Now)
@@ -265,6 +268,8 @@
 		return
 	}
 	switch {
+	case !now.Before(p.busyUntil):
+		p.level = max(p.level, min(initialLevel, p.level+levelIncrease))
 	case p.delay > lateDelay:
 		p.level = max(minLevel, p.level*levelDecrease)
 	case p.delay < timelyDelay && p.refused:
--- a/internal/admission/status.go
+++ b/internal/admission/status.go
@@ -17,9 +17,11 @@
 	// Room is the number of requests for which this daemon has room, estimated from its
 	// limit.
 	Room float64 `json:"room"`
-	// Occupancy is the number of requests in progress per slot of the pool, and Delay the
-	// average latency as a share of the target.
+	// Occupancy is the number of requests in progress per slot of the pool, Asked the work
+	// asked for here as a multiple of what the daemon's share of the slots can do, and Delay
+	// the average latency as a share of the target.
 	Occupancy float64       `json:"occupancy"`
+	Asked     float64       `json:"asked"`
 	Delay     float64       `json:"delay"`
 	Routes    []RouteStatus `json:"routes"`
 }
@@ -43,7 +45,7 @@
 		limit := p.level * p.share
 		s := PoolStatus{
 			Pool: name, Refusing: now.Before(p.busyUntil), InProgress: p.inProgress(math.MaxInt, now), Limit: limit,
-			Occupancy: p.occupancy, Delay: p.delay,
+			Occupancy: p.occupancy, Asked: p.asked.rate(now) / max(1, p.share), Delay: p.delay,
 		}
 		s.Room = max(0, limit-float64(s.InProgress))
 		for route, r := range p.routes {
--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -229,7 +229,7 @@
 	if d.Refused {
 		e.log.Log(events.FlowNotAdmitted, zap.Stringer("caller", p.Caller), zap.Stringer("service", p.Service), zap.String("route", route.Name),
 			zap.String("pool", pool), zap.Int("priority", route.Priority), zap.Int("in_progress", d.InProgress), zap.Float64("limit", d.Limit),
-			zap.Float64("occupancy", d.Occupancy), zap.Float64("delay", d.Delay), zap.Float64("share", d.Share))
+			zap.Float64("occupancy", d.Occupancy), zap.Float64("asked", d.Asked), zap.Float64("delay", d.Delay), zap.Float64("share", d.Share))
 	}
 	return !d.Refused
 }
