End refusals when the callers' tries can bridge the rest

Cause: once begun, refusals went on until the occupancy was below 2.5, and the limit fell far below what open flows bring, where it has no effect but lasts. Change: refusals end when less than 1.5 times the capacity is asked for, and the limit stays at half of what is in progress.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -29,6 +29,8 @@
 	initialLevel, minLevel, maxLevel = 4.0, 0.75, 4.5
 	// levelIncrease is added and levelDecrease multiplied once per adjustInterval.
 	levelIncrease, levelDecrease = 0.1, 0.7
+	// windup is the share of the requests in progress below which the limit does not fall.
+	windup = 0.5
 	// busyLevel is the occupancy of the pool from which on its servers count as busy, and
 	// freeLevel that below which they no longer do. Below fullLevel, slots are free.
 	busyLevel, freeLevel, fullLevel = 3.0, 2.5, 1.0
@@ -36,6 +38,8 @@
 	// flows are refused. Below it, the queues and the callers' further tries bridge a busy time:
 	// servers reject less than half of the tries.
 	overload = 2.0
+	// overloadEnd is the work asked for below which they no longer are.
+	overloadEnd = 1.5
 	// urgentLevel is the limit for all but the least urgent routes.
 	urgentLevel = 8.0
 	// rampStart and rampEnd are where refusals begin and where all flows are refused, as
@@ -258,9 +262,10 @@
 	if now.Sub(p.delayAt) > delayTTL {
 		p.delay = 0
 	}
+	asked := p.asked.rate(now) / p.share
 	switch {
-	case now.Before(p.busyUntil) && p.occupancy >= freeLevel,
-		p.occupancy >= busyLevel && p.asked.rate(now)/p.share >= overload,
+	case now.Before(p.busyUntil) && p.occupancy >= freeLevel && asked >= overloadEnd,
+		p.occupancy >= busyLevel && asked >= overload,
 		p.occupancy >= fullLevel && p.delay >= tooLate:
 		p.busyUntil = now.Add(calmTime)
 	}
@@ -271,7 +276,9 @@
 	case !now.Before(p.busyUntil):
 		p.level = max(p.level, min(initialLevel, p.level+levelIncrease))
 	case p.delay > lateDelay:
-		p.level = max(minLevel, p.level*levelDecrease)
+		// A limit far below what open flows bring has no effect, and would last too long.
+		open := windup * float64(p.inProgress(math.MaxInt, now)) / p.share
+		p.level = min(p.level, max(minLevel, open, p.level*levelDecrease))
 	case p.delay < timelyDelay && p.refused:
 		p.level = min(maxLevel, p.level+levelIncrease)
 	}
