Merge admission of new flows as a setting, off by default

Cause: no decision was made while a pool is asked for more than it can answer. Result: tests of cookie, admission, placement, settings, platform, directory and the daemon's command pass.

--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"knapweedshore.example/internal/admission"
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/events"
 	"knapweedshore.example/internal/evidence"
@@ -37,6 +38,7 @@
 	placer      *placement.Placer
 	outcomes    *evidence.OutcomeTally
 	norms       *evidence.AnswerNorms
+	admission   *admission.Controller
 	metrics     *metrics.Registry
 	log         *events.Logger
 	// flowLifetime is the maximum lifetime of a flow.
@@ -63,6 +65,8 @@
 	// ones of the engine's own.
 	Outcomes *evidence.OutcomeTally
 	Norms    *evidence.AnswerNorms
+	// Admission decides whether a new flow is served; nil stands for all.
+	Admission *admission.Controller
 	// FlowLifetime is the maximum lifetime of a flow.
 	FlowLifetime time.Duration
 	// Silences is the evidence that servers are gone. If it is nil, open flows are not reset.
@@ -79,8 +83,11 @@
 	if o.Norms == nil {
 		o.Norms = evidence.NewAnswerNorms()
 	}
+	if o.Admission == nil {
+		o.Admission = admission.New(nil, 0)
+	}
 	return &Engine{
-		codec: o.Codec, directories: o.Directories, placer: o.Placer, outcomes: o.Outcomes, norms: o.Norms, silences: o.Silences,
+		codec: o.Codec, directories: o.Directories, placer: o.Placer, admission: o.Admission, outcomes: o.Outcomes, norms: o.Norms, silences: o.Silences,
 		flowLifetime: o.FlowLifetime, metrics: o.Metrics, log: o.Log, flows: map[flowKey]*flow{}, longRoutes: map[string]bool{},
 	}
 }
@@ -200,6 +207,9 @@
 	}
 	pool := route.Pool(uint64(p.Caller.Port()))
 	candidates := e.withoutGone(d.Candidates(pool))
+	if f == nil && !e.admit(route, pool, candidates, p, now) {
+		return nil, &refusal{metrics.NoRoom, true}
+	}
 	server, ticket := e.placer.Choose(placement.Request{Route: route, Candidates: candidates, Avoid: avoid, ColdPerSecond: d.Pool(pool).ColdPerSecond, Now: now})
 	if server == nil {
 		reason := metrics.NoUsableServer
@@ -236,6 +246,7 @@
 	}
 	f.moveTo(server)
 	f.route, f.ticket, f.lastSeen, f.placedAt = route, ticket, now, now
+	e.admission.Begin(&f.demand, route, pool, now)
 	return server, nil
 }
 
@@ -249,6 +260,21 @@
 	return s, nil
 }
 
+// admit reports whether to serve a new flow. A copy of an opening packet is always served,
+// since a server may have accepted the original.
+func (e *Engine) admit(route *directory.Route, pool string, candidates []*directory.Server, p Packet, now time.Time) bool {
+	if p.Retransmits > 0 {
+		return true
+	}
+	d := e.admission.Admit(admission.Request{Route: route, Pool: pool, Candidates: candidates, Caller: p.Caller.Addr(), Now: now})
+	if d.Refused {
+		e.log.Log(events.FlowNotAdmitted, zap.Stringer("caller", p.Caller), zap.Stringer("service", p.Service), zap.String("route", route.Name),
+			zap.String("pool", pool), zap.Int("priority", route.Priority), zap.Int("in_progress", d.InProgress), zap.Float64("limit", d.Limit),
+			zap.Float64("occupancy", d.Occupancy), zap.Float64("asked", d.Asked), zap.Float64("delay", d.Delay), zap.Float64("share", d.Share))
+	}
+	return !d.Refused
+}
+
 // addFlow adds a record for a flow. It returns nil if the flow table is full.
 func (e *Engine) addFlow(key flowKey, now time.Time) *flow {
 	if len(e.flows) >= maxFlows {
@@ -401,12 +427,16 @@
 		return step{}
 	}
 	s := f.progress.observe(p, now)
+	if s.answered {
+		e.admission.End(&f.demand, now)
+	}
 	if s.answered && f.ticket != nil && !e.endFailed(f, p, now) {
 		e.metrics.Observe(metrics.RequestAnswered, s.took)
 		e.placer.Done(f.ticket, now)
 		f.ticket = nil
 	}
 	if s.requested {
+		e.admission.Begin(&f.demand, f.route, f.server.Pool, now)
 		if f.ticket == nil {
 			f.ticket = e.placer.Resume(f.server, f.route, now)
 		}
@@ -456,8 +486,7 @@
 				zap.Duration("silent_for", now.Sub(f.lastSeen)))
 		}
 		if overdue && !f.contested || f.ticket == nil && f.expired(now, e.flowLifetime, idleTimeout) {
-			e.dropAnswer(f, now)
-			delete(e.flows, key)
+			e.forget(key, f, now)
 		}
 	}
 	return resets
@@ -488,6 +517,7 @@
 		e.placer.Abandon(f.ticket)
 		f.ticket = nil
 	}
+	e.admission.Abandon(&f.demand)
 }
 
 // FlowCount returns the number of flows in the flow table.
--- a/internal/directory/builder.go
+++ b/internal/directory/builder.go
@@ -39,7 +39,7 @@
 
 // Change is a decoded item of a registry. It sets one of Config, Server, Deleted,
 // Invalid, Evacuated, Returned, VM, DeletedVM and Problem; Problem is also set along with
-// Invalid.
+// Invalid, and along with a Config of which a value had to be limited.
 type Change struct {
 	Revision uint64
 	// ReadAt is when a daemon read the item from the store. Zero stands for the
@@ -187,6 +187,9 @@
 			return ReasonOldVersion
 		}
 		b.setConfig(c.Config, receivedAt)
+		if c.Problem != nil {
+			return c.Problem.Error()
+		}
 	case c.Server != nil:
 		return b.register(c.Server)
 	case c.Deleted != "":
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"knapweedshore.example/internal/admission"
 	"knapweedshore.example/internal/cookie"
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/events"
@@ -73,10 +74,12 @@
 	options  Options
 	follower *registry.Follower
 	placer   *placement.Placer
-	engine   *cookie.Engine
-	table    *exchange.PeerTable
-	exchange *exchange.Exchange
-	evidence *evidence.Pool
+	// admission is nil unless new flows are refused while pools have too little room.
+	admission *admission.Controller
+	engine    *cookie.Engine
+	table     *exchange.PeerTable
+	exchange  *exchange.Exchange
+	evidence  *evidence.Pool
 	// silences is nil unless flows of servers that are gone are reset.
 	silences *evidence.Silences
 	outcomes *evidence.OutcomeTally
@@ -106,8 +109,12 @@
 	if o.Settings.ResetGoneFlows {
 		d.silences = d.newSilences()
 	}
+	if o.Settings.Admission {
+		d.admission = admission.New(fleet{d}, rand.Uint64())
+		d.follower.OnChange(func(dir *directory.Directory) { d.admission.Apply(dir.Config) })
+	}
 	d.engine = cookie.NewEngine(cookie.Options{
-		Codec: o.Codec, Directories: d.follower, Placer: d.placer, Outcomes: d.outcomes, Norms: d.norms, Silences: d.silences,
+		Codec: o.Codec, Directories: d.follower, Placer: d.placer, Outcomes: d.outcomes, Norms: d.norms, Silences: d.silences, Admission: d.admission,
 		FlowLifetime: o.Settings.FlowLifetime, Metrics: o.Metrics, Log: o.Log,
 	})
 	d.table = exchange.NewPeerTable(exchange.PeerTableOptions{
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"time"
+
+	"knapweedshore.example/internal/admission"
 )
 
 // Status is the state that a daemon publishes on its metrics address.
@@ -33,6 +35,8 @@
 	// FailingServers are the servers that get fewer flows since they fail far more requests
 	// than their pools.
 	FailingServers []string `json:"failing_servers,omitempty"`
+	// Admission holds the pools in which routes of different priorities compete.
+	Admission []admission.PoolStatus `json:"admission,omitempty"`
 }
 
 // Evacuation is an evacuated availability zone in a Status.
@@ -69,6 +73,9 @@
 		}
 	}
 	s.PacedServers = d.placer.PacedServers(now)
+	if d.admission != nil {
+		s.Admission = d.admission.Status(now)
+	}
 	if d.silences != nil {
 		s.ServersGone = d.silences.GoneCount()
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -84,6 +84,7 @@
 	ZoneReachable   = Event{Number: 436, Level: infoLevel, Message: "zone is reachable again", Action: "none"}
 	PaceStarted     = Event{Number: 444, Level: infoLevel, Message: "server is paced", Action: "none", PerSecond: serverLinesPerSecond}
 	PaceEnded       = Event{Number: 445, Level: infoLevel, Message: "server is no longer paced", Action: "none", PerSecond: serverLinesPerSecond}
+	FlowNotAdmitted = Event{Number: 470, Level: infoLevel, Message: "flow refused: too little room in its pool", Action: "add servers if it lasts", PerSecond: flowLinesPerSecond}
 	CookieCorrected = Event{Number: 437, Level: infoLevel, Message: "second server that accepted a flow was told the cookie of the flow's server", Action: "none", PerSecond: flowLinesPerSecond}
 
 	ServerGone      = Event{Number: 450, Level: warnLevel, Message: "server counts as gone", Action: "none; if the server lives, see the field reason", PerSecond: serverLinesPerSecond}
@@ -107,5 +108,6 @@
 		PaceStarted, PaceEnded,
 		ServerGone, ServerBack, FlowReset, VerdictWithheld,
 		ServerFails, ServerServes,
+		FlowNotAdmitted,
 	}
 }
--- a/internal/metrics/names.go
+++ b/internal/metrics/names.go
@@ -37,6 +37,7 @@
 	EvacuatedCopy     Reason = "evacuated_copy"
 	ColdLimit         Reason = "cold_limit"
 	ServerGone        Reason = "server_gone"
+	NoRoom            Reason = "no_room"
 )
 
 var refusalReasons = []Reason{
@@ -45,7 +46,7 @@
 	FlowTableFull, NewFlowRate, NoStanding, NoOwner, NoTables, ResetUnconfirmed,
 	ICMPUnknownFlow, StaleTables, PeerNotMember, PeerRefused, LinkQueueFull, ExceptionBudget,
 	ExceptionStale, TablesRegressed, StoreBudget, SendFailed,
-	SilentFlow, NoCookie, UnknownCookie, StalePacket, PoolEvacuated, EvacuatedCopy, ColdLimit, ServerGone,
+	SilentFlow, NoCookie, UnknownCookie, StalePacket, PoolEvacuated, EvacuatedCopy, ColdLimit, ServerGone, NoRoom,
 }
 
 // Reasons for retrying a call.
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -13,6 +13,9 @@
 	// ownAnswerTTL is how long an answer that this daemon got from a server
 	// overrides the suspicions of peers, whose own network may be broken.
 	ownAnswerTTL = time.Second
+	// occupancyTTL is how long the last report of a peer counts in Occupancy. A flood grows
+	// within a few of the times that a request takes.
+	occupancyTTL = 200 * time.Millisecond
 )
 
 // Load is the view of the backend servers that a daemon reports to its peers.
@@ -86,3 +89,41 @@
 	}
 	return l
 }
+
+// Occupancy is the load of servers that answer.
+type Occupancy struct {
+	// InProgress is the number of requests that Daemons daemons have placed, and Slots that
+	// of the servers' slots.
+	InProgress, Daemons, Slots int
+}
+
+// Occupancy returns the load of the servers that are not avoided, from this daemon and the
+// peers with a recent report. Reports of a large fleet come too rarely for a sum over all
+// daemons, but the recent ones are a sample.
+func (p *Placer) Occupancy(servers []*directory.Server, now time.Time) Occupancy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o := Occupancy{Daemons: 1}
+	counted := make(map[directory.Cookie]bool, len(servers))
+	for _, s := range servers {
+		rec := p.state(s.Cookie)
+		if p.serverAvoided(s.Cookie, rec, now) || s.Zone != p.zone && p.zoneAvoided(s.Zone, now) {
+			continue
+		}
+		counted[s.Cookie] = true
+		o.InProgress += rec.inProgress
+		o.Slots += s.Slots
+	}
+	for _, l := range p.peers {
+		if now.Sub(l.receivedAt) > occupancyTTL {
+			continue
+		}
+		o.Daemons++
+		for c, n := range l.InProgress {
+			if counted[c] {
+				o.InProgress += n
+			}
+		}
+	}
+	return o
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -52,6 +52,9 @@
 	// AvoidFailingServers is set if servers that fail far more requests than the others of
 	// their pools get fewer new flows.
 	AvoidFailingServers bool
+	// Admission is set if new flows of less urgent routes are refused while their pools have
+	// too little room.
+	Admission bool
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
@@ -157,6 +160,9 @@
 	{Section: "limits", Name: "avoid_failing_servers", Default: "no",
 		Meaning: "yes or no: whether servers that fail far more requests than the others of their pools get fewer new flows",
 		set:     func(s *draft, v string) string { return setYesNo(&s.entry.AvoidFailingServers, v) }},
+	{Section: "limits", Name: "admission", Default: "no",
+		Meaning: "yes or no: whether new flows of less urgent routes are refused while their pools are asked for more than twice what their servers can do",
+		set:     func(s *draft, v string) string { return setYesNo(&s.entry.Admission, v) }},
 
 	{Section: "log", Name: "level", Default: "info",
 		Meaning: "lowest level that is logged: debug, info, warn or error",
@@ -220,6 +226,7 @@
 	addIf("limits.evacuate_ms", e.EvacuationTime != next.EvacuationTime)
 	addIf("limits.reset_gone_flows", e.ResetGoneFlows != next.ResetGoneFlows)
 	addIf("limits.avoid_failing_servers", e.AvoidFailingServers != next.AvoidFailingServers)
+	addIf("limits.admission", e.Admission != next.Admission)
 	addIf("limits.flow_life_s", e.FlowLifetime != next.FlowLifetime)
 	return changed
 }
