Do not use the record of an earlier flow from the same port

Cause: records of idle flows are kept for 15 s instead of 3 s, so that a new flow from the same port that was opened through another daemon could find the record of an earlier one, whose end went elsewhere, and would be sent to its server. Change: a sequence number that is far from the record's belongs to another flow.

--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -239,6 +239,10 @@
 func (e *Engine) continueFlow(d *directory.Directory, p Packet, now time.Time) (*directory.Server, []Datagram, *refusal) {
 	key := flowKey{p.Caller, p.Service}
 	f := e.flows[key]
+	if f != nil && f.progress.isOtherFlow(p) {
+		e.forget(key, f)
+		f = nil
+	}
 	if f == nil || f.adopted {
 		server, refused := e.serverByCookie(d, p)
 		if refused == nil && f == nil {
--- a/internal/cookie/progress.go
+++ b/internal/cookie/progress.go
@@ -72,5 +72,16 @@
 	return s
 }
 
+// maxSeqDistance is the largest distance between the sequence numbers of packets that are on
+// their way in one flow at the same time.
+const maxSeqDistance = 1 << 20
+
+// isOtherFlow reports whether a packet belongs to another flow between the same endpoints,
+// which was opened through another daemon.
+func (g *progress) isOtherFlow(p Packet) bool {
+	distance := int32(p.Seq - g.sentTo)
+	return g.sent && (distance > maxSeqDistance || distance < -maxSeqDistance)
+}
+
 // isAfter reports whether sequence number x follows y. Sequence numbers wrap around.
 func isAfter(x, y uint32) bool { return int32(x-y) > 0 }
--- a/internal/cookie/progress_test.go
+++ b/internal/cookie/progress_test.go
@@ -75,6 +75,19 @@
 	h.is.Equal(h.metrics.Totals().Value(metrics.FlowsAdopted), int64(1))
 }
 
+// Guards against packets that go to the server of an earlier flow from the same port, whose
+// record is kept although the caller ended it through another daemon.
+func TestRecordOfAnEarlierFlowIsNotUsed(t *testing.T) {
+	h := newHarness(t)
+	c := h.open(0)
+	h.send(Packet{Cookie: c, Seq: 1000, PayloadLen: 10})
+	h.send(Packet{Cookie: c, Seq: 1010, Ack: 5})
+	h.now = h.now.Add(5 * time.Second)
+	v := h.send(Packet{Cookie: 3 - c, Seq: 3_000_000_000, PayloadLen: 10})
+	h.is.Equal(v.To, h.directories.endpoint(3-c))
+	h.is.Equal(h.engine.placer.Load(h.now).InProgress, map[directory.Cookie]int{3 - c: 1})
+}
+
 // Guards against packets to the old address of a server that has restarted elsewhere under
 // its id, since the record of an idle flow is kept.
 func TestRecordFollowsTheServersAddress(t *testing.T) {
