Pass the time to the end of an adopted record

Cause: two parts met: one added a call of forget, the other its parameter. Change: the call passes the time. Result: go vet is clean, tests of cookie, evidence and placement pass.

--- a/internal/cookie/engine.go
+++ b/internal/cookie/engine.go
@@ -298,7 +298,7 @@
 	key := flowKey{p.Caller, p.Service}
 	f := e.flows[key]
 	if f != nil && f.progress.isOtherFlow(p) {
-		e.forget(key, f)
+		e.forget(key, f, now)
 		f = nil
 	}
 	if f == nil || f.adopted {
