Run the daemon's tests with admission switched on

Cause: no test ran a daemon with limits.admission. Change: the settings of the daemons in these tests switch it on; no check changes. Result: all tests of entry pass; their pools have one priority, so nothing is refused.

--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -124,7 +124,7 @@
 	d := &daemon{endpoint: endpoint, done: make(chan struct{}), settings: &settings.Entry{
 		Name: fmt.Sprint("vm", n), Region: "r", Zone: zone, Data: s.addr(1, n, dataPort), Ready: s.addr(1, n, readyPort),
 		Peer: s.addr(1, n, peerPort), PeerListen: s.addr(1, n, peerPort), Store: endpoint.Addr(), GracePeriod: 3 * time.Second, RecoveryTime: 4 * time.Second, DrainTime: 3 * time.Second, ConfigTime: 3 * time.Second, FlowLifetime: time.Minute,
-		ResetGoneFlows: true, AvoidFailingServers: true,
+		ResetGoneFlows: true, AvoidFailingServers: true, Admission: true,
 	}}
 	for _, other := range s.daemons {
 		d.settings.Seeds = append(d.settings.Seeds, other.settings.Peer)
