--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -118,8 +118,8 @@
 }
 
 // Choose returns the candidate with the lowest cost and a ticket for the flow, or
-// nil if there are no candidates that take a flow. Ties are broken at random, so that daemons that
-// have learned nothing yet spread their flows.
+// nil if there are no candidates that take a flow. Ties are broken at random, so that
+// daemons that have learned nothing yet spread their flows.
 func (p *Placer) Choose(r Request) (*directory.Server, *Ticket) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
