Use one identity of availability zones in reports

Cause: internal/evidence hashed a zone's name again, beside internal/exchange. Change: the type and the hash stand in internal/evidence, and exchange uses them.

--- a/internal/evidence/silence.go
+++ b/internal/evidence/silence.go
@@ -54,7 +54,8 @@
 // DaemonIDOf returns the identity of the daemon with an address.
 func DaemonIDOf(a netip.Addr) DaemonID { return DaemonID(xxhash.Sum64(a.AsSlice())) }
 
-func zoneIDOf(name string) ZoneID { return ZoneID(xxhash.Sum64String(name)) }
+// ZoneIDOf returns the identity of the availability zone with a name.
+func ZoneIDOf(name string) ZoneID { return ZoneID(xxhash.Sum64String(name)) }
 
 // SilencesOptions configures Silences.
 type SilencesOptions struct {
@@ -129,7 +130,7 @@
 // NewSilences returns Silences without evidence.
 func NewSilences(o SilencesOptions, now time.Time) *Silences {
 	return &Silences{
-		options: o, start: now, self: DaemonIDOf(o.Self), zone: zoneIDOf(o.Zone), servers: map[directory.Cookie]*suspect{},
+		options: o, start: now, self: DaemonIDOf(o.Self), zone: ZoneIDOf(o.Zone), servers: map[directory.Cookie]*suspect{},
 		reached: map[string]*reach{}, held: map[directory.Cookie]bool{},
 	}
 }
--- a/internal/evidence/silence_test.go
+++ b/internal/evidence/silence_test.go
@@ -24,7 +24,7 @@
 	lost.MissingSince, lost.LostByRestore = missing.MissingSince, true
 	successor := &directory.Server{Name: "t", Started: 2, ReadAt: epoch.Add(-time.Second)}
 	statement := func(zone string, flows int, probe Probe) Statement {
-		return Statement{Zone: zoneIDOf(zone), Since: epoch.Add(-minSilence), At: epoch, Flows: flows, Probe: probe}
+		return Statement{Zone: ZoneIDOf(zone), Since: epoch.Add(-minSilence), At: epoch, Flows: flows, Probe: probe}
 	}
 	outdated := statement("a", 3, ProbeTimeout)
 	outdated.At, outdated.Since = epoch.Add(-2*time.Second), epoch.Add(-4*time.Second)
@@ -127,7 +127,7 @@
 func (o *observer) claim(c directory.Cookie, silentFor time.Duration) {
 	var r Report
 	for w := range DaemonID(2) {
-		r.Silences = append(r.Silences, Silence{Server: c, Witness: w + 1, Zone: zoneIDOf("a"), SilentFor: silentFor, Flows: 100, Probe: ProbeRefused})
+		r.Silences = append(r.Silences, Silence{Server: c, Witness: w + 1, Zone: ZoneIDOf("a"), SilentFor: silentFor, Flows: 100, Probe: ProbeRefused})
 	}
 	o.Record(Peer{}, r, o.now)
 }
--- a/internal/evidence/verdict.go
+++ b/internal/evidence/verdict.go
@@ -103,7 +103,7 @@
 		return RegistrationGone
 	case refused && sum.flows > 0:
 		return ConnectionRefused
-	case sum.shows(zoneIDOf(s.Zone)) && now.Sub(f.ReportedAt) <= maxReportAge && now.Sub(f.DoubtedAt) >= contestTime:
+	case sum.shows(ZoneIDOf(s.Zone)) && now.Sub(f.ReportedAt) <= maxReportAge && now.Sub(f.DoubtedAt) >= contestTime:
 		return Silent
 	}
 	return ""
--- a/internal/exchange/table.go
+++ b/internal/exchange/table.go
@@ -10,8 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"knapweedshore.example/internal/directory"
 	"knapweedshore.example/internal/evidence"
 	"knapweedshore.example/internal/placement"
@@ -100,9 +98,7 @@
 }
 
 // ZoneID identifies an availability zone in reports. It is a hash of the name.
-type ZoneID uint32
-
-func zoneID(name string) ZoneID { return ZoneID(xxhash.Sum64String(name)) }
+type ZoneID = evidence.ZoneID
 
 // peer is another daemon. Its lastSeen is the time of its last report, zero if there
 // was none.
@@ -230,7 +226,7 @@
 func (t *PeerTable) getOrAddZone(name string, now time.Time) *zoneState {
 	z := t.zones[name]
 	if z == nil {
-		z = &zoneState{id: zoneID(name), listeningSince: now}
+		z = &zoneState{id: evidence.ZoneIDOf(name), listeningSince: now}
 		t.zones[name] = z
 	}
 	return z
