Read a route's priority in a check as the daemons do

Cause: the check had its own field for the priority: one that is missing counted as the most urgent, the daemons take it as the least urgent, and a fraction made the whole route unreadable. Change: the check uses the decoding of the daemons, and what they limit is an error with its path; the check for negative values, which that covers, is removed from configcheck and tested.

--- a/cmd/knapweedshorectl/check_test.go
+++ b/cmd/knapweedshorectl/check_test.go
@@ -36,6 +36,7 @@
 		"negative weight":             {`"weight":10`, `"weight":-1`, configcheck.Finding{Severity: "error", Rule: "invalid_value", Path: "routes[1]", Line: 4}},
 		"target above the timeout":    {`"target_latency_ms":300`, `"target_latency_ms":3000`, configcheck.Finding{Severity: "error", Rule: "contradiction", Path: "routes[0]", Line: 3}},
 		"negative timeout":            {`"timeout_ms":2000,"target_latency_ms":300`, `"timeout_ms":-2000,"target_latency_ms":300`, configcheck.Finding{Severity: "error", Rule: "invalid_value", Path: "routes[0]", Line: 3}},
+		"negative priority":           {`"priority":1`, `"priority":-1`, configcheck.Finding{Severity: "error", Rule: "invalid_value", Path: "routes[1].priority", Line: 4}},
 		"idle time below a timeout":   {`15000`, `1000`, configcheck.Finding{Severity: "warning", Rule: "contradiction", Path: "routes[0]", Line: 3}},
 		"host that is no address":     {`"name":"hold","host":"198.18.0.1"`, `"name":"hold","host":"example.org"`, configcheck.Finding{Severity: "error", Rule: "invalid_value", Path: "routes[1].host", Line: 4}},
 		"port out of range":           {`/8080/`, `/80800/`, configcheck.Finding{Severity: "error", Rule: "invalid_value", Path: "routes[1].prefix", Line: 4}},
--- a/internal/configcheck/check.go
+++ b/internal/configcheck/check.go
@@ -146,9 +146,6 @@
 			c.add(Error, RuleInvalid, r.Position, "route %q has the %s %s, want 0 or more", r.Name, t.name, t.value)
 		}
 	}
-	if r.Priority < 0 {
-		c.add(Error, RuleInvalid, r.Position, "route %q has priority %d, want 0 or more", r.Name, r.Priority)
-	}
 	if r.Timeout > 0 && r.TargetLatency > r.Timeout {
 		c.add(Error, RuleContradiction, r.Position, "route %q has a target latency of %s, above its timeout of %s", r.Name, r.TargetLatency, r.Timeout)
 	}
