Review case 6: a succession of configurations leaves all daemons behind for 20 s

Each watch of the store has 2.5 s for its whole answer, the changes take longer, and the call is repeated from the same revision until the store drops its history.

--- a/review/second/lab/store.go
+++ b/review/second/lab/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,12 +21,14 @@
 	Created  uint64 `json:"created,omitempty"`
 	Lease    uint64 `json:"lease"`
 	Deleted  bool   `json:"deleted,omitempty"`
+
+	writtenAt time.Time
 }
 
 // pageSize is the number of items in a page of a listing.
 const pageSize = 500
 
-// Store is the platform's store. It answers after Delay.
+// Store is the platform's store.
 type Store struct {
 	mu       sync.Mutex
 	delay    time.Duration
@@ -35,30 +38,88 @@
 	events   []Item
 	leases   map[uint64]bool
 	changed  chan struct{}
-	listener net.Listener
+	// history is how long changes are kept, and dropped the revision up to which they are not.
+	history   time.Duration
+	dropped   uint64
+	listeners []net.Listener
+}
+
+// link limits what one machine gets, in bytes a second; zero for no limit.
+type link struct {
+	mu   sync.Mutex
+	rate float64
+	free time.Time
+}
+
+// write writes b at the rate of the link, which its responses share.
+func (l *link) write(w io.Writer, b []byte) {
+	if l.rate == 0 {
+		_, _ = w.Write(b)
+		return
+	}
+	const chunk = 4 << 10
+	for len(b) > 0 {
+		n := min(chunk, len(b))
+		l.mu.Lock()
+		now := time.Now()
+		if l.free.Before(now) {
+			l.free = now
+		}
+		l.free = l.free.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
+		until := l.free
+		l.mu.Unlock()
+		time.Sleep(time.Until(until))
+		if _, err := w.Write(b[:n]); err != nil {
+			return
+		}
+		if f, ok := w.(http.Flusher); ok {
+			f.Flush()
+		}
+		b = b[n:]
+	}
 }
 
-// NewStore starts an empty store.
-func NewStore(addr netip.AddrPort) (*Store, error) {
+// NewStore returns an empty store without addresses.
+func NewStore() *Store {
+	return &Store{
+		delay: 4 * time.Millisecond, era: 1, revision: 10, items: map[string]Item{}, leases: map[uint64]bool{}, changed: make(chan struct{}),
+		history: 20 * time.Second,
+	}
+}
+
+// Serve serves the store at an address. The machine that uses it has a link of a rate in bytes a
+// second; zero for no limit.
+func (s *Store) Serve(addr netip.AddrPort, rate float64) error {
 	l, err := net.Listen("tcp4", addr.String())
 	if err != nil {
-		return nil, err
+		return err
 	}
-	s := &Store{delay: 4 * time.Millisecond, era: 1, revision: 10, items: map[string]Item{}, leases: map[uint64]bool{}, changed: make(chan struct{}), listener: l}
+	s.listeners = append(s.listeners, l)
+	e := endpoint{s, &link{rate: rate}}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-key", s.key)
-	mux.HandleFunc("GET /kv-range", s.list)
-	mux.HandleFunc("GET /kv-watch", s.watch)
-	mux.HandleFunc("POST /kv-txn", s.txn)
-	mux.HandleFunc("POST /kv-lease", s.lease)
-	mux.HandleFunc("POST /kv-keep/{id}", s.keep)
-	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
+	mux.HandleFunc("GET /kv-key", e.key)
+	mux.HandleFunc("GET /kv-range", e.list)
+	mux.HandleFunc("GET /kv-watch", e.watch)
+	mux.HandleFunc("POST /kv-txn", e.txn)
+	mux.HandleFunc("POST /kv-lease", e.lease)
+	mux.HandleFunc("POST /kv-keep/{id}", e.keep)
+	mux.HandleFunc("DELETE /kv-lease-end/{id}", e.end)
 	go func() { _ = http.Serve(l, mux) }()
-	return s, nil
+	return nil
+}
+
+// endpoint is the store as one machine reaches it.
+type endpoint struct {
+	*Store
+	link *link
 }
 
 // Close stops the store.
-func (s *Store) Close() { _ = s.listener.Close() }
+func (s *Store) Close() {
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+}
 
 // SetDelay sets how long an answer takes.
 func (s *Store) SetDelay(d time.Duration) {
@@ -106,23 +167,32 @@
 }
 
 func (s *Store) publish(i Item) {
+	i.writtenAt = time.Now()
 	s.events = append(s.events, i)
+	for len(s.events) > 0 && time.Since(s.events[0].writtenAt) > s.history {
+		s.dropped, s.events = s.events[0].Revision, s.events[1:]
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-func (s *Store) answer(w http.ResponseWriter, status int, body any) {
+func (s endpoint) answer(w http.ResponseWriter, status int, body any) {
 	s.mu.Lock()
 	d, era := s.delay, s.era
 	s.mu.Unlock()
 	time.Sleep(d)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	b, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	s.link.write(w, b)
 }
 
-func (s *Store) key(w http.ResponseWriter, r *http.Request) {
+func (s endpoint) key(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	i, ok := s.items[r.URL.Query().Get("key")]
 	s.mu.Unlock()
@@ -133,7 +203,7 @@
 	s.answer(w, http.StatusOK, i)
 }
 
-func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+func (s endpoint) list(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	page := struct {
 		Items      []Item `json:"items"`
@@ -160,7 +230,7 @@
 	s.answer(w, http.StatusOK, page)
 }
 
-func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+func (s endpoint) watch(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 	waitMS, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
@@ -173,6 +243,10 @@
 		}{Events: []Item{}}
 		s.mu.Lock()
 		changed, revision := s.changed, s.revision
+		for len(s.events) > 0 && time.Since(s.events[0].writtenAt) > s.history {
+			s.dropped, s.events = s.events[0].Revision, s.events[1:]
+		}
+		dropped := s.dropped
 		for _, i := range s.events {
 			if i.Revision > after && strings.HasPrefix(i.Key, q.Get("prefix")) {
 				list.Events = append(list.Events, i)
@@ -180,7 +254,7 @@
 		}
 		s.mu.Unlock()
 		list.CurrentRev = revision
-		if after > revision {
+		if after > revision || after < dropped {
 			s.answer(w, http.StatusGone, struct{}{})
 			return
 		}
@@ -198,7 +272,7 @@
 	}
 }
 
-func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
+func (s endpoint) txn(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Expected []Item `json:"expected_rev"`
 		Puts     []Item `json:"puts"`
@@ -233,7 +307,7 @@
 	s.answer(w, status, map[string]any{"revision": revision})
 }
 
-func (s *Store) lease(w http.ResponseWriter, r *http.Request) {
+func (s endpoint) lease(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		TTL int64 `json:"ttl_ms"`
 	}
@@ -245,7 +319,7 @@
 	s.answer(w, http.StatusOK, map[string]any{"lease": id, "ttl_ms": body.TTL})
 }
 
-func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
+func (s endpoint) keep(w http.ResponseWriter, r *http.Request) {
 	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	s.mu.Lock()
 	known := s.leases[id]
@@ -257,7 +331,7 @@
 	s.answer(w, http.StatusOK, map[string]any{"lease": id, "ttl_ms": 600000})
 }
 
-func (s *Store) end(w http.ResponseWriter, r *http.Request) {
+func (s endpoint) end(w http.ResponseWriter, r *http.Request) {
 	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	s.mu.Lock()
 	delete(s.leases, id)
--- a/review/second/lab/world.go
+++ b/review/second/lab/world.go
@@ -40,6 +40,12 @@
 	Daemons []*Daemon
 	Start   time.Time
 	Dir     string
+	// LinkRate is the rate at which a daemon's machine receives what the store sends, in bytes
+	// a second; zero for no limit. It is set before the daemons are added.
+	LinkRate float64
+
+	// OnOpening is called when an opening packet has reached a server. It must not block.
+	OnOpening func(s *Server, key FlowKey, p Packet)
 
 	loss   atomic.Uint64 // in parts per million
 	number byte
@@ -84,9 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if w.Store, err = NewStore(w.Addr(6, 1, storePort)); err != nil {
-		return nil, err
-	}
+	w.Store = NewStore()
 	return w, nil
 }
 
@@ -163,6 +167,9 @@
 	defer w.mu.Unlock()
 	l := w.flow(key)
 	l.add(w, "%s gets %s", s.ID, p)
+	if p.Flags&SYN != 0 && w.OnOpening != nil {
+		w.OnOpening(s, key, p)
+	}
 	if l.server == nil || l.over || p.Flags&SYN != 0 {
 		return
 	}
@@ -244,13 +251,16 @@
 		Name: fmt.Sprintf("front-%s-%d", zone, index), Zone: zone, Data: w.Addr(1, index, dataPort), world: w, index: index, misses: 2,
 		settings: filepath.Join(w.Dir, fmt.Sprintf("%d.ini", index)),
 	}
+	if err := w.Store.Serve(w.Addr(6, index, storePort), w.LinkRate); err != nil {
+		return nil, err
+	}
 	var list []string
 	for _, s := range seeds {
 		list = append(list, fmt.Sprintf("%s:8166", s))
 	}
 	text := fmt.Sprintf("[vm]\nname = %s\nregion = r\nzone = %s\n[addresses]\ndata = %s\nready = %s\npeer = %s\nmetrics = %s\nstore = %s\nseeds = %s\n"+
 		"[limits]\nreset_gone_flows = yes\navoid_failing_servers = yes\ngrace_s = %d\nrecovery_ms = %d\ndrain_ms = %d\nconfig_ms = %d\nflow_life_s = %d\n%s",
-		d.Name, zone, d.Data, w.Addr(1, index, readyPort), w.Addr(1, index, peerPort), w.Addr(1, index, metricsPort), w.Addr(6, 1, storePort), strings.Join(list, ","),
+		d.Name, zone, d.Data, w.Addr(1, index, readyPort), w.Addr(1, index, peerPort), w.Addr(1, index, metricsPort), w.Addr(6, index, storePort), strings.Join(list, ","),
 		w.Bounds.GraceS, w.Bounds.StableMS, w.Bounds.DrainMS, w.Bounds.ConfigMS, w.Bounds.FlowTTLS, extra)
 	w.Daemons = append(w.Daemons, d)
 	return d, os.WriteFile(d.settings, []byte(text), 0o600)
