--- a/review/second/cmd/storm/main.go
+++ b/review/second/cmd/storm/main.go
@@ -29,8 +29,9 @@
 	routes := flag.Int("routes", 240+1480, "further routes without traffic")
 	changes := flag.Int("changes", 20, "number of configurations")
 	gap := flag.Duration("gap", 80*time.Millisecond, "time between two of them")
+	fast := flag.Int("fast", 0, "number of daemons, the last ones, with links of 200 Mbit/s")
 	flag.Parse()
-	code, err := run(*record, *routes, *changes, *gap, os.Getenv("TROUBLE") != "0")
+	code, err := run(*record, *routes, *changes, *gap, *fast, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		code = 2
@@ -78,7 +79,7 @@
 	}
 }
 
-func run(record string, routes, changes int, gap time.Duration, trouble bool) (int, error) {
+func run(record string, routes, changes int, gap time.Duration, fast int, trouble bool) (int, error) {
 	w, err := lab.NewWorld(lab.Bounds{DrainMS: 5000, ConfigMS: 5000, StableMS: 5000, GraceS: 6, FlowTTLS: 60, IdleMS: 15000, ReorderMS: 2000}, record)
 	if err != nil {
 		return 2, err
@@ -103,6 +104,9 @@
 	}
 	seeds := []netip.Addr{w.Addr(1, 1, 0).Addr(), w.Addr(1, 3, 0).Addr(), w.Addr(1, 5, 0).Addr()}
 	for i := range daemons {
+		if i >= daemons-fast {
+			w.LinkRate = 20 * linkRate
+		}
 		d, err := w.AddDaemon(byte(i+1), zones[i/2], seeds, "")
 		if err != nil {
 			return 2, err
