--- a/review/second/cmd/flows/main.go
+++ b/review/second/cmd/flows/main.go
@@ -125,12 +125,15 @@
 	if !f.Open() {
 		return
 	}
+	sent, answer := 0, ""
+	defer func() { m.Logf("flow %s: requests sent %d, last answer %q", f, sent, answer) }()
 	for i := range 4 {
 		if i > 0 && !f.Idle(time.Duration(1000+rand.IntN(3000))*time.Millisecond) {
 			return
 		}
 		id := fmt.Sprintf("request %016x", rand.Uint64())
-		if f.Request(id, 5*time.Second) == "" {
+		sent++
+		if answer = f.Request(id, 5*time.Second); answer == "" {
 			return
 		}
 	}
--- a/review/second/cmd/storm/main.go
+++ b/review/second/cmd/storm/main.go
@@ -243,13 +243,15 @@
 	s.mu.Unlock()
 	f := m.NewFlow(service, c)
 	defer f.Done()
-	served := f.Open()
+	served, id, answer := f.Open(), fmt.Sprintf("%s %016x", name, rand.Uint64()), "not opened"
 	if served {
-		served = f.Request(fmt.Sprintf("%s %016x", name, rand.Uint64()), 2*time.Second) != ""
+		answer = f.Request(id, 2*time.Second)
+		served = answer != ""
 	}
 	if served {
 		f.Close()
 	}
+	s.w.Logf("request %s: answer %q (the server's id precedes what it has run); late %v", id, answer, late)
 	switch {
 	case served && late:
 		u.lateServed.Add(1)
--- a/review/second/lab/caller.go
+++ b/review/second/lab/caller.go
@@ -22,6 +22,9 @@
 	port  uint16
 }
 
+// Logf writes a line to the record.
+func (m *Machine) Logf(format string, args ...any) { m.world.Logf(format, args...) }
+
 // Counts counts what callers have seen.
 type Counts struct {
 	Flows, Opened, NotOpened, Contested, Sent, Answered, Resets, Timeouts, Wrong atomic.Int64
@@ -94,6 +97,9 @@
 	return f
 }
 
+// String returns the flow's two ends.
+func (f *Flow) String() string { return f.key.Caller.String() + " to " + f.key.Service.String() }
+
 // Done removes the flow.
 func (f *Flow) Done() {
 	f.m.mu.Lock()
