--- a/review/second/cmd/flows/main.go
+++ b/review/second/cmd/flows/main.go
@@ -63,10 +63,8 @@
 		}
 	}
 	w.PollReadiness()
-	for end := time.Now().Add(10 * time.Second); w.InRotation() < 9; time.Sleep(50 * time.Millisecond) {
-		if time.Now().After(end) {
-			return 2, fmt.Errorf("%d of 9 daemons are ready", w.InRotation())
-		}
+	if err := w.WaitUntilReady(15 * time.Second); err != nil {
+		return 2, err
 	}
 	time.Sleep(time.Second)
 	var machines []*lab.Machine
--- a/review/second/cmd/storm/main.go
+++ b/review/second/cmd/storm/main.go
@@ -116,10 +116,8 @@
 		}
 	}
 	w.PollReadiness()
-	for end := time.Now().Add(15 * time.Second); w.InRotation() < daemons; time.Sleep(50 * time.Millisecond) {
-		if time.Now().After(end) {
-			return 2, fmt.Errorf("%d of %d daemons are ready", w.InRotation(), daemons)
-		}
+	if err := w.WaitUntilReady(15 * time.Second); err != nil {
+		return 2, err
 	}
 	time.Sleep(time.Duration(w.Bounds.StableMS) * time.Millisecond) // all daemons are in touch
 	return s.play(zones, trouble)
--- a/review/second/lab/world.go
+++ b/review/second/lab/world.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -24,7 +25,7 @@
 	metricsPort = 7735
 	serverPort  = 8080
 	storePort   = 8169
-	lockPort    = 8165
+	lockPort    = 8166 // by which the project's stand-ins claim a network as well
 )
 
 // Bounds of the deployment.
@@ -91,6 +92,13 @@
 		return nil, err
 	}
 	w.Store = NewStore()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		w.Close()
+		os.Exit(2)
+	}()
 	return w, nil
 }
 
@@ -369,6 +377,25 @@
 	return d.misses < maxMisses
 }
 
+// WaitUntilReady waits until all daemons are in rotation. A daemon that ends by itself meanwhile is
+// an error.
+func (w *World) WaitUntilReady(timeout time.Duration) error {
+	for end := time.Now().Add(timeout); w.InRotation() < len(w.Daemons); time.Sleep(50 * time.Millisecond) {
+		for _, d := range w.Daemons {
+			d.mu.Lock()
+			ends := d.Ends
+			d.mu.Unlock()
+			if ends > 0 {
+				return fmt.Errorf("%s does not run", d.Name)
+			}
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%d of %d daemons are ready", w.InRotation(), len(w.Daemons))
+		}
+	}
+	return nil
+}
+
 // InRotation returns the number of daemons in rotation.
 func (w *World) InRotation() int {
 	n := 0
