--- a/review/second/cmd/flows/main.go
+++ b/review/second/cmd/flows/main.go
@@ -29,15 +29,15 @@
 }
 
 func run(record string, loss, rate float64, length time.Duration, trouble bool) (int, error) {
-	w, err := lab.NewWorld(lab.Bounds{DrainMS: 5000, ConfigMS: 5000, StableMS: 5000, GraceS: 6, FlowTTLS: 60, IdleMS: 12000, ReorderMS: 2000}, record)
+	w, err := lab.NewWorld(lab.Bounds{DrainMS: 5000, ConfigMS: 5000, StableMS: 5000, GraceS: 6, FlowTTLS: 60, IdleMS: 15000, ReorderMS: 2000}, record)
 	if err != nil {
 		return 2, err
 	}
 	defer w.Close()
 	zones := []string{"khomas-a", "khomas-b", "khomas-c"}
 	service := w.Addr(9, 1, 8443)
-	for i := range 18 {
-		s, err := lab.NewServer(w, w.Addr(2, byte(i+1), 8080), uint64(0x7f3a0000+i*7919+1), "desk", zones[i%3], 20*time.Millisecond)
+	for i := range 120 {
+		s, err := lab.NewServer(w, w.Addr(2, byte(i+1), 8080), uint64(0x7f3a0000+i*7919+1), "desk", zones[i%3], 44*time.Millisecond)
 		if err != nil {
 			return 2, err
 		}
@@ -45,9 +45,9 @@
 		s.Register("ready")
 	}
 	w.Store.Put("op/config", map[string]any{
-		"version": 7, "services": []any{map[string]any{"name": "desk", "health_path": "/health", "max_connections": 3206, "protocol": "h1", "tls": false, "cold_start_s": 0, "cold_per_s": 0}},
+		"version": 7, "services": []any{map[string]any{"name": "desk", "health_path": "/health", "max_connections": 3206, "protocol": "h1", "tls": false, "cold_start_s": 2.0, "cold_per_s": 0.0}},
 		"routes": []any{map[string]any{"name": "r-desk", "host": service.Addr().String(), "prefix": "/8443/", "kind": "unsafe", "timeout_ms": 5000, "target_latency_ms": 500, "priority": 1, "service": "desk", "max_attempts": 2}},
-		"limits": map[string]any{"idle_timeout_ms": 12000},
+		"limits": map[string]any{"idle_timeout_ms": 15000},
 	})
 	var seeds []netip.Addr
 	for _, i := range []byte{1, 4, 7} {
@@ -116,7 +116,7 @@
 		c.Flows.Load(), c.Opened.Load(), c.NotOpened.Load(), c.Contested.Load(), c.Sent.Load(), c.Answered.Load(), c.Timeouts.Load(), c.Resets.Load())
 }
 
-// play is one caller: a flow with four requests and pauses between them.
+// play is one caller: a flow with two requests and a pause between them.
 func play(m *lab.Machine, service netip.AddrPort, c *lab.Counts) {
 	f := m.NewFlow(service, c)
 	defer f.Done()
@@ -125,13 +125,13 @@
 	}
 	sent, answer := 0, ""
 	defer func() { m.Logf("flow %s: requests sent %d, last answer %q", f, sent, answer) }()
-	for i := range 4 {
+	for i := range 2 {
 		if i > 0 && !f.Idle(time.Duration(1000+rand.IntN(3000))*time.Millisecond) {
 			return
 		}
-		id := fmt.Sprintf("request %016x", rand.Uint64())
+		id := fmt.Sprintf("%016x", rand.Uint64())
 		sent++
-		if answer = f.Request(id, 5*time.Second); answer == "" {
+		if answer = f.Request(id, 900, 5*time.Second); answer == "" {
 			return
 		}
 	}
@@ -182,6 +182,9 @@
 		}
 	}
 	w.Logf("requests run %d, more than once on one server %d", run, twice)
+	if n := c.Wrong.Load(); n > 0 {
+		w.Violations = append(w.Violations, fmt.Sprintf("MIXED: %d wrong answers", n))
+	}
 	if c.Answered.Load() < c.Sent.Load()/2 {
 		return 2, fmt.Errorf("the site does not serve: %d of %d requests answered", c.Answered.Load(), c.Sent.Load())
 	}
--- a/review/second/cmd/storm/main.go
+++ b/review/second/cmd/storm/main.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,7 +91,7 @@
 	w.OnOpening = s.opening
 	zones := []string{"sound-side", "gorge-side", "peninsula"}
 	for i := range 9 {
-		server, err := lab.NewServer(w, w.Addr(2, byte(i+1), 8080), uint64(0x7f3a0000+i*7919+1), "dispatch", zones[i%3], 20*time.Millisecond)
+		server, err := lab.NewServer(w, w.Addr(2, byte(i+1), 8080), uint64(0x7f3a0000+i*7919+1), "dispatch", zones[i%3], 40*time.Millisecond)
 		if err != nil {
 			return 2, err
 		}
@@ -107,7 +108,7 @@
 		if i >= daemons-fast {
 			w.LinkRate = 20 * linkRate
 		}
-		d, err := w.AddDaemon(byte(i+1), zones[i/2], seeds, "")
+		d, err := w.AddDaemon(byte(i+1), zones[i/2], seeds, "evacuate_ms = 5000\n")
 		if err != nil {
 			return 2, err
 		}
@@ -241,15 +242,19 @@
 	s.mu.Unlock()
 	f := m.NewFlow(service, c)
 	defer f.Done()
-	served, id, answer := f.Open(), fmt.Sprintf("%s %016x", name, rand.Uint64()), "not opened"
+	body := 0
+	if name == "usual" {
+		body = 900
+	}
+	served, id, answer := f.Open(), fmt.Sprintf("%s-%016x", name, rand.Uint64()), "not opened"
 	if served {
-		answer = f.Request(id, 2*time.Second)
-		served = answer != ""
+		answer = f.Request(id, body, 2*time.Second)
+		served = strings.HasPrefix(answer, "200 ")
 	}
 	if served {
 		f.Close()
 	}
-	s.w.Logf("request %s: answer %q (the server's id precedes what it has run); late %v", id, answer, late)
+	s.w.Logf("request %s: answer %q (status, server, request); late %v", id, answer, late)
 	switch {
 	case served && late:
 		u.lateServed.Add(1)
--- a/review/second/lab/caller.go
+++ b/review/second/lab/caller.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -196,17 +197,19 @@
 	}
 }
 
-// Request sends a request and returns the response; empty if there is none in the time.
-func (f *Flow) Request(id string, timeout time.Duration) string {
+// Request sends a request with a body of a size and returns the response's status, server and
+// request; empty if there is none in the time.
+func (f *Flow) Request(id string, body int, timeout time.Duration) string {
+	payload := request(id, body)
 	f.counts.Sent.Add(1)
 	deadline := time.Now().Add(timeout)
-	sent, end := false, f.seq+uint32(len(id))
+	sent, end := false, f.seq+uint32(len(payload))
 	pause := firstRetransmit
 	var again time.Time
 	acked := false
 	for time.Now().Before(deadline) {
 		if !sent || !acked && !time.Now().Before(again) {
-			f.send(Packet{Seq: f.seq, Ack: f.ack, Flags: ACK, Data: []byte(id)})
+			f.send(Packet{Seq: f.seq, Ack: f.ack, Flags: ACK, Data: payload})
 			if sent {
 				pause = min(maxRetransmit, 2*pause)
 			}
@@ -229,7 +232,10 @@
 			f.send(Packet{Seq: f.seq, Ack: f.ack, Flags: ACK})
 			f.counts.Answered.Add(1)
 			f.Closing = p.Flags&FIN != 0
-			return string(p.Data)
+			if !strings.HasSuffix(header(p.Data, "Response-Signature"), " "+id) {
+				f.counts.Wrong.Add(1)
+			}
+			return summary(p.Data)
 		}
 		if len(p.Data) > 0 { // an earlier response once more
 			f.send(Packet{Seq: f.seq, Ack: f.ack, Flags: ACK})
--- a/review/second/lab/server.go
+++ b/review/second/lab/server.go
@@ -39,6 +39,9 @@
 	closed bool
 	// draining is set while the server closes each flow after its next response.
 	draining bool
+	// busy is the number of requests in progress, and queue holds those that wait for a slot.
+	busy  int
+	queue []func()
 	// Run counts the runs of each request. Forged and Foreign count packets that no caller wrote
 	// so, and those with the number of another server.
 	Run             map[string]int
@@ -188,10 +191,8 @@
 	switch {
 	case len(p.Data) > 0 && p.Seq == f.next:
 		f.next += uint32(len(p.Data))
-		id := string(p.Data)
-		s.Run[id]++
 		s.send(key, f, Packet{Seq: f.respSeq, Ack: f.next, Flags: ACK})
-		time.AfterFunc(s.work, func() { s.respond(key, f, id) })
+		s.accept(key, f, requestID(p.Data))
 	case len(p.Data) > 0:
 		s.send(key, f, Packet{Seq: f.respSeq, Ack: f.next, Flags: ACK})
 	case p.Flags&FIN != 0:
@@ -208,13 +209,45 @@
 	}
 }
 
-func (s *Server) respond(key FlowKey, f *serverFlow, id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// slots is the number of requests that a server works on at once, and maxQueue that of those that
+// wait. It rejects more.
+const (
+	slots    = 2
+	maxQueue = 8
+)
+
+// accept works on a request, lets it wait or rejects it. s.mu is held.
+func (s *Server) accept(key FlowKey, f *serverFlow, id string) {
+	begin := func() {
+		s.busy++
+		s.Run[id]++
+		time.AfterFunc(s.work, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.respond(key, f, response(s.ID, id))
+			s.busy--
+			if len(s.queue) > 0 {
+				next := s.queue[0]
+				s.queue = s.queue[1:]
+				next()
+			}
+		})
+	}
+	switch {
+	case s.busy < slots:
+		begin()
+	case len(s.queue) < maxQueue:
+		s.queue = append(s.queue, begin)
+	default:
+		s.respond(key, f, rejection(s.ID, id))
+	}
+}
+
+func (s *Server) respond(key FlowKey, f *serverFlow, b []byte) {
 	if s.closed || f.ended || s.flows[key] != f {
 		return
 	}
-	f.response, f.acked, f.tries = []byte(s.ID+" "+id), false, 0
+	f.response, f.acked, f.tries = b, false, 0
 	s.transmit(key, f)
 }
 
